--- /dev/null
+++ b/commands/publish.go
@@ -0,0 +1,232 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"github.com/foxtailhall/foxtailhall/coordination/publisher"
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/state/checker"
+	"github.com/foxtailhall/foxtailhall/state/parser"
+	"github.com/foxtailhall/foxtailhall/transport/appender"
+)
+
+const (
+	// readRetry is the pause after a read that failed.
+	readRetry = 200 * time.Millisecond
+	// settleWait is how long one read waits for the publication to show.
+	settleWait = 200 * time.Millisecond
+)
+
+type publishCommand struct {
+	deps     *dependencies
+	Log      string        `long:"log" description:"IP:port of the platform's log" required:"true" value-name:"ADDRESS"`
+	Admin    string        `long:"admin" description:"IP:port of a process's AdminAddress, asked for the head when the log no longer holds it" value-name:"ADDRESS"`
+	Base     int64         `long:"base" description:"Version that the change is based on; the head by default" default:"-1" value-name:"VERSION"`
+	Remove   []string      `long:"remove" description:"Object to remove, as Kind/Name" value-name:"KEY"`
+	Operator string        `long:"operator" description:"Name for the logs" value-name:"NAME"`
+	Patience time.Duration `long:"patience" description:"How long to wait for the log" default:"15s" value-name:"DURATION"`
+	Args     struct {
+		Files []string `positional-arg-name:"FILE"`
+	} `positional-args:"true"`
+}
+
+func addPublish(line *flags.Parser, deps *dependencies) error {
+	return addCommand(line, "publish", "Check a change and publish it",
+		"Checks the objects against the head, appends them to the log, and tells whether they came into force. "+
+			"Exit code 3 means that the change is void, 4 that its fate is not known.",
+		&publishCommand{deps: deps})
+}
+
+var (
+	errNothing   = eris.New("neither files nor objects to remove are given")
+	errOvertaken = eris.New("publication is void")
+	errUnsettled = eris.New("it is not known whether the publication is in force; publish the same change again with the same --base, which does no harm")
+	errNoHead    = eris.New("the log no longer holds the head; name a process with --admin")
+)
+
+// Execute publishes the change and prints what became of it.
+func (c *publishCommand) Execute([]string) error {
+	if len(c.Args.Files) == 0 && len(c.Remove) == 0 {
+		return &exitError{code: ExitUsage, err: errNothing}
+	}
+	log, err := appender.New(c.Log)
+	if err != nil {
+		return fmt.Errorf("publishing: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Patience)
+	defer cancel()
+	head, err := c.readHead(ctx, log)
+	if err != nil {
+		return fmt.Errorf("reading the head: %w", err)
+	}
+	record, err := c.record(head.Catalog())
+	if err != nil {
+		return fmt.Errorf("checking the change: %w", err)
+	}
+	return c.publish(ctx, log, head, record)
+}
+
+// readHead folds the whole stream that the log keeps.
+func (c *publishCommand) readHead(ctx context.Context, log *appender.Appender) (publisher.State, error) {
+	state := publisher.New(c.deps.parser)
+	for {
+		batch, err := log.Read(ctx, appender.StreamConfiguration, state.Next(), 0)
+		if err != nil {
+			if !pause(ctx, readRetry) {
+				return state, fmt.Errorf("waiting for the log: %w", err)
+			}
+			continue
+		}
+		state, _ = folded(state, batch, "")
+		if state.Next() < batch.End {
+			continue
+		}
+		if state.Exact() {
+			return state, nil
+		}
+		return c.askProcess(ctx, state)
+	}
+}
+
+func (c *publishCommand) askProcess(ctx context.Context, state publisher.State) (publisher.State, error) {
+	if c.Admin == "" {
+		return state, errNoHead
+	}
+	version, asOf, objects, err := fetchObjects(ctx, c.Admin)
+	if err != nil {
+		return state, fmt.Errorf("asking a process: %w", err)
+	}
+	next, err := state.WithPeer(version, asOf, "", objects)
+	if err != nil {
+		return state, fmt.Errorf("taking the process's version: %w", err)
+	}
+	return next, nil
+}
+
+// folded applies a batch and returns the ruling on the record with the given id.
+func folded(state publisher.State, batch appender.Batch, id string) (publisher.State, *publisher.Ruling) {
+	state = state.WithEarliest(batch.Earliest)
+	var found *publisher.Ruling
+	for _, entry := range batch.Entries {
+		var record publisher.Record
+		if err := json.Unmarshal(entry.Data, &record); err != nil {
+			record = publisher.Record{}
+		}
+		next, ruling := state.WithRecord(entry.Offset, record)
+		state = next
+		if id != "" && record.ID == id && !record.Copy && found == nil {
+			found = &ruling
+		}
+	}
+	return state, found
+}
+
+// record builds the publication and checks it against the head.
+func (c *publishCommand) record(head cataloger.Catalog) (publisher.Record, error) {
+	sources, err := readSources(c.Args.Files)
+	if err != nil {
+		return publisher.Record{}, err
+	}
+	parsed, err := c.deps.parser.Parse(sources...)
+	if err != nil {
+		return publisher.Record{}, fmt.Errorf("%w:\n%w", errFaulty, err)
+	}
+	remove, err := keysOf(c.Remove)
+	if err != nil {
+		return publisher.Record{}, err
+	}
+	changed := head.WithoutObjects(remove).WithObjects(parsed.Objects)
+	if faults := changed.ChangeFaults(parsed.Objects, remove); len(faults) > 0 {
+		return publisher.Record{}, fmt.Errorf("%w:\n%w", errFaulty, parsed.Locate(faults))
+	}
+	text, err := parser.Format(parsed.Objects)
+	if err != nil {
+		return publisher.Record{}, fmt.Errorf("writing the objects: %w", err)
+	}
+	record := publisher.Record{
+		ID:       strconv.FormatUint(rand.Uint64(), 16) + strconv.FormatUint(rand.Uint64(), 16),
+		Base:     head.Version(),
+		Objects:  text,
+		Remove:   remove,
+		Operator: c.Operator,
+	}
+	if c.Base >= 0 {
+		record.Base = uint64(c.Base)
+	}
+	return record, nil
+}
+
+func keysOf(names []string) ([]cataloger.Key, error) {
+	keys := make([]cataloger.Key, 0, len(names))
+	for _, text := range names {
+		kind, name, ok := strings.Cut(text, "/")
+		if !ok || name == "" {
+			return nil, checker.Faults{{File: "--remove", Reason: fmt.Sprintf("%q is not of the form Kind/Name", text)}}
+		}
+		keys = append(keys, cataloger.Key{Kind: cataloger.Kind(kind), Name: name})
+	}
+	return keys, nil
+}
+
+// publish appends the record and reads the log until its fate shows.
+func (c *publishCommand) publish(
+	ctx context.Context, log *appender.Appender, state publisher.State, record publisher.Record,
+) error {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return fmt.Errorf("encoding the publication: %w", err)
+	}
+	_, appendErr := log.Append(ctx, appender.StreamConfiguration, data)
+	if errors.Is(appendErr, appender.ErrRefused) {
+		return &exitError{code: ExitFailed, err: fmt.Errorf("publishing: %w", appendErr)}
+	}
+	if appendErr != nil {
+		_, _ = fmt.Fprintf(c.deps.stderr, "The log did not confirm (%v); reading it for the publication.\n", appendErr)
+	}
+	for {
+		batch, err := log.Read(ctx, appender.StreamConfiguration, state.Next(), settleWait)
+		if err == nil {
+			next, ruling := folded(state, batch, record.ID)
+			state = next
+			if ruling != nil {
+				return c.settled(record, *ruling)
+			}
+		}
+		if !pause(ctx, readRetry) {
+			return &exitError{code: ExitUnknown, err: errUnsettled}
+		}
+	}
+}
+
+func (c *publishCommand) settled(record publisher.Record, ruling publisher.Ruling) error {
+	if ruling.Verdict != publisher.VerdictAccepted {
+		err := fmt.Errorf("%w: %s", errOvertaken, ruling.Reason)
+		return &exitError{code: ExitVoid, err: err}
+	}
+	_, err := fmt.Fprintf(c.deps.stdout, "Accepted Version=%d Publication=%s\n", ruling.Version, record.ID)
+	if err != nil {
+		return fmt.Errorf("printing: %w", err)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/commands/status.go
@@ -0,0 +1,119 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"github.com/foxtailhall/foxtailhall/transport/administrator"
+)
+
+// adminTimeout bounds a request to a process's administration.
+const adminTimeout = 3 * time.Second
+
+type statusCommand struct {
+	deps  *dependencies
+	Admin string `long:"admin" description:"IP:port of the process's AdminAddress" required:"true" value-name:"ADDRESS"`
+	JSON  bool   `long:"json" description:"Print everything as JSON"`
+}
+
+func addStatus(line *flags.Parser, deps *dependencies) error {
+	return addCommand(line, "status", "Show what a running process sees",
+		"Shows the version in force, the backend server beside the process, and every backend server that the process knows.",
+		&statusCommand{deps: deps})
+}
+
+// Execute prints the status of one process.
+func (c *statusCommand) Execute([]string) error {
+	body, _, err := getAdmin(context.Background(), c.Admin, administrator.PathStatus)
+	if err != nil {
+		return fmt.Errorf("asking for the status: %w", err)
+	}
+	if c.JSON {
+		if _, err := c.deps.stdout.Write(body); err != nil {
+			return fmt.Errorf("printing: %w", err)
+		}
+		return nil
+	}
+	var status administrator.Status
+	if err := json.Unmarshal(body, &status); err != nil {
+		return fmt.Errorf("decoding the status: %w", err)
+	}
+	if err := printStatus(c.deps.stdout, status); err != nil {
+		return fmt.Errorf("printing: %w", err)
+	}
+	return nil
+}
+
+func printStatus(w io.Writer, status administrator.Status) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "Process\t%s\tZone %s\tUp %.0fs\tStopping %t\n",
+		status.PeerAddress, status.Zone, status.UpSeconds, status.Stopping)
+	_, _ = fmt.Fprintf(table, "Version\t%d\tPublication %s\tExact %t up to offset %d\tLog silent for %dms\n",
+		status.Version, status.Publication, status.Exact, status.ExactUpTo, status.LogSilenceMs)
+	guard := status.Guard
+	_, _ = fmt.Fprintf(table, "Guard\t%s\t%s\tSlots %d\tInFlight %d Waiting %d\n",
+		guard.Service, guard.State, guard.Slots, guard.InFlight, guard.Waiting)
+	_, _ = fmt.Fprintf(table, "Evidence\t%.1f nats\tCause %s\tBadShare %.3f\tEjected for another %dms\n",
+		guard.Suspicion, guard.Cause, guard.BadShare, guard.EjectedLeftMs)
+	for _, service := range status.Services {
+		_, _ = fmt.Fprintf(table, "\nService\t%s\tFloor %d\tHealthy %d slots\tEjector %s\n",
+			service.Name, service.FloorSlots, service.HealthySlots, service.Ejector)
+		for _, server := range service.Servers {
+			_, _ = fmt.Fprintf(table, "\t%s\tZone %s\t%s\tLoad %d/%d Latency %dus Avoided %t\n",
+				server.Address, server.Zone, server.State, server.Load, server.Slots, server.LatencyUs, server.Avoided)
+		}
+	}
+	return table.Flush()
+}
+
+var errStatus = eris.New("unexpected status")
+
+// getAdmin fetches a page of a process's administration.
+func getAdmin(ctx context.Context, address, path string) ([]byte, *protocol.ResponseHeader, error) {
+	opened, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(adminTimeout))
+	if err != nil {
+		return nil, nil, fmt.Errorf("opening a client: %w", err)
+	}
+	request, response := &protocol.Request{}, &protocol.Response{}
+	request.SetMethod(consts.MethodGet)
+	request.SetRequestURI("http://" + address + path)
+	request.SetOptions(config.WithRequestTimeout(adminTimeout))
+	if err := opened.Do(ctx, request, response); err != nil {
+		return nil, nil, fmt.Errorf("fetching %s from %s: %w", path, address, err)
+	}
+	if response.StatusCode() != consts.StatusOK {
+		return nil, nil, fmt.Errorf("fetching %s from %s: %w %d", path, address, errStatus, response.StatusCode())
+	}
+	return response.Body(), &response.Header, nil
+}
+
+// fetchObjects returns the version in force at a process, the log offset up to
+// which it is the head, and its objects.
+func fetchObjects(ctx context.Context, address string) (version uint64, asOf int64, objects string, err error) {
+	body, header, err := getAdmin(ctx, address, administrator.PathObjects)
+	if err != nil {
+		return 0, 0, "", err
+	}
+	version, err = strconv.ParseUint(string(header.Peek(administrator.HeaderVersion)), 10, 64)
+	if err != nil {
+		return 0, 0, "", fmt.Errorf("reading the version: %w", err)
+	}
+	asOf, err = strconv.ParseInt(string(header.Peek(administrator.HeaderAsOf)), 10, 64)
+	if err != nil {
+		return 0, 0, "", fmt.Errorf("reading the log offset: %w", err)
+	}
+	return version, asOf, string(body), nil
+}
--- /dev/null
+++ b/coordination/picker/picker.go
@@ -0,0 +1,202 @@
+// Package picker chooses the backend server for one attempt of one request.
+package picker
+
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+	"github.com/foxtailhall/foxtailhall/state/tracker"
+)
+
+const (
+	// MaxTried bounds the servers that one request may exclude.
+	MaxTried = 4
+	// trialShare is how many requests there are to one trial of a slow server or of one on probation.
+	trialShare = 16
+	// slowFactor is how much slower than the pool a server may be and still be
+	// preferred. Slower ones are left for when all others are busy, and for trials.
+	slowFactor = 2.0
+	// defaultLatency stands in for a server without answers, in microseconds.
+	defaultLatency = 1000.0
+)
+
+// Reason tells why a server was chosen.
+type Reason uint8
+
+// Reasons for a choice.
+const (
+	// ReasonNone means that no server can be given the request.
+	ReasonNone Reason = iota
+	// ReasonOwn is the server beside the router.
+	ReasonOwn
+	// ReasonZone is the better of two in the router's availability zone.
+	ReasonZone
+	// ReasonSpill is the better of two anywhere, as the own zone has no free slot.
+	ReasonSpill
+	// ReasonBusy is the better of two when no server has a free slot.
+	ReasonBusy
+	// ReasonAvoided is a server behind a failing path, when there is no other.
+	ReasonAvoided
+	// ReasonTrial is a server on probation.
+	ReasonTrial
+)
+
+// String gives the name of the reason.
+func (r Reason) String() string {
+	names := [...]string{"None", "Own", "Zone", "Spill", "Busy", "Avoided", "Trial"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "Unknown"
+}
+
+// Query is what a choice depends on beside the pool.
+type Query struct {
+	// Self and Zone are those of the router's own process.
+	Self uint64
+	Zone string
+	// Now is a monotonic time.
+	Now time.Duration
+	// Random is uniformly distributed.
+	Random     uint64
+	Idempotent bool
+	// Tried holds the incarnations to leave out, up to TriedCount.
+	Tried      [MaxTried]uint64
+	TriedCount int
+}
+
+// WithTried returns the query with one more server to leave out.
+func (q Query) WithTried(incarnation uint64) Query {
+	if q.TriedCount < MaxTried {
+		q.Tried[q.TriedCount] = incarnation
+		q.TriedCount++
+	}
+	return q
+}
+
+func (q Query) tried(incarnation uint64) bool {
+	for _, tried := range q.Tried[:q.TriedCount] {
+		if tried == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// pair holds two entries drawn at random from a stream of them.
+type pair struct {
+	first, second int
+	seen          uint64
+}
+
+// draw keeps each of the entries seen so far with equal probability.
+func (p *pair) draw(index int, random *uint64) {
+	p.seen++
+	switch {
+	case p.seen == 1:
+		p.first = index
+		return
+	case p.seen == 2:
+		p.second = index
+		return
+	}
+	switch next(random) % p.seen {
+	case 0:
+		p.first = index
+	case 1:
+		p.second = index
+	}
+}
+
+func next(random *uint64) uint64 {
+	*random ^= *random << 13
+	*random ^= *random >> 7
+	*random ^= *random << 17
+	return *random
+}
+
+// Pick chooses a server. It does not allocate.
+func Pick(pool *tracker.Pool, query Query) (tracker.Entry, Reason) {
+	random := query.Random | 1
+	explore := query.Random%trialShare == 0
+	var zone, anywhere, busy, avoided, trial pair
+	for i := range pool.Entries {
+		entry := &pool.Entries[i]
+		member := &entry.Member
+		if !member.State.Working() || query.tried(member.Incarnation) {
+			continue
+		}
+		if member.State == registrar.StateProbation {
+			trial.draw(i, &random)
+			continue
+		}
+		if entry.Server.Avoided(query.Now) {
+			avoided.draw(i, &random)
+			continue
+		}
+		busy.draw(i, &random)
+		if !free(entry) {
+			continue
+		}
+		if slow(pool, entry) && !explore {
+			continue
+		}
+		if member.Incarnation == query.Self {
+			return *entry, ReasonOwn
+		}
+		anywhere.draw(i, &random)
+		if member.Zone == query.Zone {
+			zone.draw(i, &random)
+		}
+	}
+	if trial.seen > 0 && query.Idempotent && explore {
+		return pool.Entries[trial.first], ReasonTrial
+	}
+	switch {
+	case zone.seen > 0:
+		return better(pool, query, zone), ReasonZone
+	case anywhere.seen > 0:
+		return better(pool, query, anywhere), ReasonSpill
+	case busy.seen > 0:
+		return better(pool, query, busy), ReasonBusy
+	case avoided.seen > 0:
+		return better(pool, query, avoided), ReasonAvoided
+	case trial.seen > 0:
+		return better(pool, query, trial), ReasonTrial
+	default:
+		return tracker.Entry{}, ReasonNone
+	}
+}
+
+// free tells whether the server seems to have a slot left.
+func free(entry *tracker.Entry) bool {
+	return entry.Server.Load() < int64(entry.Member.Slots)
+}
+
+// slow tells whether the server answers much later than the pool.
+func slow(pool *tracker.Pool, entry *tracker.Entry) bool {
+	typical := pool.Typical.Latency()
+	return typical > 0 && entry.Server.Latency() > slowFactor*typical
+}
+
+func better(pool *tracker.Pool, query Query, drawn pair) tracker.Entry {
+	first := &pool.Entries[drawn.first]
+	if drawn.seen == 1 {
+		return *first
+	}
+	second := &pool.Entries[drawn.second]
+	if cost(second, query.Now) < cost(first, query.Now) {
+		return *second
+	}
+	return *first
+}
+
+// cost is the expected work before a new request, by answer time and slots.
+func cost(entry *tracker.Entry, now time.Duration) float64 {
+	latency := entry.Server.Latency()
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	slots := float64(max(entry.Member.Slots, 1)) * entry.Server.Warmth(now)
+	return float64(entry.Server.Load()+1) * latency / slots
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command foxtailhall is a proxy fleet for backend servers with gray failures.
+package main
+
+import (
+	"os"
+
+	"github.com/foxtailhall/foxtailhall/commands"
+)
+
+func main() {
+	os.Exit(commands.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/standins/main.go
@@ -0,0 +1,206 @@
+// Command standins runs the small stand-ins that tests and the demo use in
+// place of the outside: backend servers, the platform's log, callers.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/foxtailhall/foxtailhall/standins/caller"
+	"github.com/foxtailhall/foxtailhall/standins/recorder"
+	"github.com/foxtailhall/foxtailhall/standins/relayer"
+	"github.com/foxtailhall/foxtailhall/standins/reporter"
+	"github.com/foxtailhall/foxtailhall/standins/worker"
+	"github.com/foxtailhall/foxtailhall/transport/guard"
+)
+
+type logCommand struct {
+	Address   string        `long:"address" required:"true" description:"IP:port to listen on"`
+	Retention time.Duration `long:"retention" default:"1h" description:"How long records are kept"`
+	Appends   int           `long:"appends" default:"400" description:"Appends a second above which they are refused"`
+}
+
+// Execute runs the log.
+func (c *logCommand) Execute([]string) error {
+	return recorder.New(c.Address, recorder.Options{Retention: c.Retention, AppendsPerSecond: c.Appends}).Run()
+}
+
+type serverCommand struct {
+	Address       string        `long:"address" required:"true" description:"IP:port to listen on"`
+	Admin         string        `long:"admin" description:"AdminAddress of the process beside"`
+	BackendServer string        `long:"backend-server" description:"Name of the BackendServer object"`
+	Name          string        `long:"name" default:"server" description:"Name in answers and journal"`
+	Slots         int           `long:"slots" default:"4" description:"Requests worked on at once"`
+	Latency       time.Duration `long:"latency" default:"20ms" description:"Median service time"`
+	Spread        float64       `long:"spread" default:"0.3" description:"Standard deviation of ln of service time"`
+	ColdTime      time.Duration `long:"cold-time" description:"How long the server is slow after its start"`
+	ColdFactor    float64       `long:"cold-factor" default:"3" description:"How slow it is then"`
+	Journal       string        `long:"journal" description:"File for a line per request that starts to run"`
+}
+
+// Execute runs the backend server until SIGTERM, then leaves through the guard.
+func (c *serverCommand) Execute([]string) error {
+	server, err := worker.New(c.Address, worker.Options{
+		Name: c.Name, Slots: c.Slots, Latency: c.Latency, Spread: c.Spread,
+		ColdTime: c.ColdTime, ColdFactor: c.ColdFactor, Journal: c.Journal,
+	})
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Run() }()
+	if c.Admin == "" {
+		return <-failed
+	}
+	announcer, err := worker.NewAnnouncer(c.Admin, guard.Announcement{
+		BackendServer: c.BackendServer,
+		Address:       c.Address,
+		Run:           strconv.FormatInt(time.Now().UnixNano(), 16),
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go announcer.Run(ctx)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return announcer.Leave()
+	}
+}
+
+type callersCommand struct {
+	Targets   []string      `long:"target" required:"true" description:"CallerAddress of a process; repeat for more"`
+	Rate      float64       `long:"rate" default:"100" description:"Operations a second"`
+	Duration  time.Duration `long:"duration" default:"10s" description:"Length of the load"`
+	Patience  time.Duration `long:"patience" default:"1s" description:"Time after which an answer is late"`
+	Bill      float64       `long:"bill" description:"Share of non-idempotent operations without a key"`
+	OwnKey    float64       `long:"own-key" description:"Share of non-idempotent operations with the caller's own key"`
+	BoundKey  float64       `long:"bound-key" description:"Share of non-idempotent operations with a bound key"`
+	Upload    float64       `long:"upload" description:"Share of long uploads"`
+	Download  float64       `long:"download" description:"Share of long downloads"`
+	LongBytes int           `long:"long-bytes" default:"4194304" description:"Length of long bodies"`
+	ReadPath  string        `long:"read-path" default:"/sheets" description:"Path of reads and downloads"`
+	WritePath string        `long:"write-path" default:"/billing" description:"Path of the other operations"`
+	Repeats   int           `long:"repeats" default:"3" description:"Repeats of a keyed operation whose fate is open"`
+	Out       string        `long:"out" description:"File for a JSON line per operation"`
+	Quiet     bool          `long:"quiet" description:"Show no progress"`
+}
+
+// Execute runs the load and prints its summary.
+func (c *callersCommand) Execute([]string) error {
+	options := caller.Options{
+		Targets: c.Targets, Rate: c.Rate, Duration: c.Duration, Patience: c.Patience,
+		LongBytes: c.LongBytes, Repeats: c.Repeats,
+		Shares: map[caller.Kind]float64{
+			caller.KindBill: c.Bill, caller.KindOwnKey: c.OwnKey, caller.KindBoundKey: c.BoundKey,
+			caller.KindUpload: c.Upload, caller.KindDownload: c.Download,
+		},
+		Paths: map[caller.Kind]string{
+			caller.KindRead: c.ReadPath, caller.KindDownload: c.ReadPath,
+			caller.KindBill: c.WritePath, caller.KindOwnKey: c.WritePath,
+			caller.KindBoundKey: c.WritePath, caller.KindUpload: c.WritePath,
+		},
+	}
+	if !c.Quiet {
+		options.Progress = os.Stdout
+	}
+	if c.Out != "" {
+		out, err := os.Create(c.Out)
+		if err != nil {
+			return fmt.Errorf("creating the results: %w", err)
+		}
+		defer func() { _ = out.Close() }()
+		options.Out = out
+	}
+	load, err := caller.New(options)
+	if err != nil {
+		return err
+	}
+	summary := load.Run(context.Background())
+	fmt.Printf("Sent=%d Whole=%d Late=%d Wrong=%d Failed=%d NotRun=%d Unknown=%d Ran=%d Lost=%d P50Ms=%.2f P99Ms=%.2f\n",
+		summary.Sent, summary.Results[caller.ResultWhole], summary.Results[caller.ResultLate],
+		summary.Results[caller.ResultWrong], summary.Results[caller.ResultFailed], summary.Results[caller.ResultNotRun],
+		summary.Results[caller.ResultUnknown], summary.Results[caller.ResultRan], summary.Results[caller.ResultLost],
+		float64(summary.Latencies.ValueAtQuantile(50))/1000, float64(summary.Latencies.ValueAtQuantile(99))/1000)
+	return nil
+}
+
+type relayCommand struct {
+	Listen  string `long:"listen" required:"true" description:"IP:port to listen on"`
+	Target  string `long:"target" required:"true" description:"IP:port to relay to"`
+	Control string `long:"control" required:"true" description:"IP:port for commands"`
+}
+
+// Execute runs the relay.
+func (c *relayCommand) Execute([]string) error {
+	relay := relayer.New(c.Listen, c.Target)
+	go func() { _ = relay.Control(c.Control) }()
+	return relay.Run()
+}
+
+type reportCommand struct {
+	Results  string `long:"results" required:"true" description:"File that callers wrote"`
+	Journals string `long:"journals" required:"true" description:"Pattern of the servers' journals"`
+}
+
+var errBroken = errors.New("a promise was broken")
+
+// Execute prints the report and fails if a promise was broken.
+func (c *reportCommand) Execute([]string) error {
+	report, err := reporter.Load(c.Results, c.Journals)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("Operations whole / late / wrong      %d / %d / %d\n",
+		report.Last[caller.ResultWhole], report.Last[caller.ResultLate], len(report.Wrong))
+	fmt.Printf("Told NotRun / Unknown / Ran          %d / %d / %d\n",
+		report.Last[caller.ResultNotRun], report.Last[caller.ResultUnknown], report.Last[caller.ResultRan])
+	fmt.Printf("Server errors / broken connections   %d / %d\n",
+		report.Last[caller.ResultFailed], report.Last[caller.ResultLost])
+	fmt.Printf("Non-idempotent run more than once    %d\n", len(report.Repeated))
+	fmt.Printf("Told NotRun, but run                 %d\n", len(report.FalseNotRun))
+	fmt.Printf("Answered, but not run                %d\n", len(report.Unbacked))
+	if report.Broken() {
+		return fmt.Errorf("%w: repeated %v, false NotRun %v, wrong %v, unbacked %v",
+			errBroken, report.Repeated, report.FalseNotRun, report.Wrong, report.Unbacked)
+	}
+	return nil
+}
+
+func main() {
+	hlog.SetLevel(hlog.LevelFatal)
+	hlog.SetSilentMode(true)
+	line := flags.NewNamedParser("standins", flags.HelpFlag|flags.PassDoubleDash)
+	commands := []struct {
+		name, short string
+		data        any
+	}{
+		{"log", "Run the platform's log", &logCommand{}},
+		{"server", "Run a backend server", &serverCommand{}},
+		{"callers", "Run a load", &callersCommand{}},
+		{"relay", "Run a relay with one-way cuts", &relayCommand{}},
+		{"report", "Hold callers' results against servers' journals", &reportCommand{}},
+	}
+	for _, command := range commands {
+		if _, err := line.AddCommand(command.name, command.short, command.short, command.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	if _, err := line.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standins/reporter/reporter.go
@@ -0,0 +1,120 @@
+// Package reporter holds what callers were told against what backend servers ran.
+package reporter
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/foxtailhall/foxtailhall/standins/caller"
+)
+
+// Report is the outcome of one run.
+type Report struct {
+	// Last counts the operations by their last result.
+	Last map[caller.Result]int
+	// Operations counts the operations by kind.
+	Operations map[caller.Kind]int
+	// Repeated holds non-idempotent operations that ran more than once.
+	Repeated []string
+	// FalseNotRun holds operations that ran although every answer was NotRun.
+	FalseNotRun []string
+	// Wrong holds operations that got an answer that was not their own or not whole.
+	Wrong []string
+	// Unbacked holds operations that got a whole answer without having run.
+	Unbacked []string
+}
+
+// Broken tells whether a promise was broken.
+func (r Report) Broken() bool {
+	return len(r.Repeated)+len(r.FalseNotRun)+len(r.Wrong)+len(r.Unbacked) > 0
+}
+
+const maxLineBytes = 1 << 20
+
+// Load reads the callers' results and all journals that match a pattern.
+func Load(results, journals string) (Report, error) {
+	runs, err := loadRuns(journals)
+	if err != nil {
+		return Report{}, err
+	}
+	report := Report{Last: map[caller.Result]int{}, Operations: map[caller.Kind]int{}}
+	err = eachLine(results, func(line string) error {
+		var op caller.Operation
+		if err := json.Unmarshal([]byte(line), &op); err != nil {
+			return fmt.Errorf("decoding %q: %w", line, err)
+		}
+		report = report.with(op, runs[op.Key])
+		return nil
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	return report, nil
+}
+
+// with returns the report with one more operation, which ran the given number of times.
+func (r Report) with(op caller.Operation, runs int) Report {
+	r.Operations[op.Kind]++
+	r.Last[op.Results[len(op.Results)-1]]++
+	idempotent := op.Kind == caller.KindRead || op.Kind == caller.KindDownload
+	if !idempotent && runs > 1 {
+		r.Repeated = append(r.Repeated, op.Key)
+	}
+	if all(op.Results, caller.ResultNotRun) && runs > 0 {
+		r.FalseNotRun = append(r.FalseNotRun, op.Key)
+	}
+	if slices.Contains(op.Results, caller.ResultWrong) {
+		r.Wrong = append(r.Wrong, op.Key)
+	}
+	if slices.Contains(op.Results, caller.ResultWhole) && runs == 0 {
+		r.Unbacked = append(r.Unbacked, op.Key)
+	}
+	return r
+}
+
+func all(results []caller.Result, want caller.Result) bool {
+	return !slices.ContainsFunc(results, func(result caller.Result) bool { return result != want })
+}
+
+func loadRuns(pattern string) (map[string]int, error) {
+	files, err := filepath.Glob(pattern)
+	if err != nil {
+		return nil, fmt.Errorf("finding journals: %w", err)
+	}
+	runs := map[string]int{}
+	for _, file := range files {
+		err := eachLine(file, func(line string) error {
+			key, _, _ := strings.Cut(line, " ")
+			runs[key]++
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return runs, nil
+}
+
+func eachLine(file string, take func(string) error) error {
+	opened, err := os.Open(file)
+	if err != nil {
+		return fmt.Errorf("opening results: %w", err)
+	}
+	defer func() { _ = opened.Close() }()
+	lines := bufio.NewScanner(opened)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		if err := take(lines.Text()); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("reading %s: %w", file, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/state/cataloger/checks.go
@@ -0,0 +1,122 @@
+package cataloger
+
+import "fmt"
+
+// Fault is one broken rule of an object.
+type Fault struct {
+	Key    Key
+	Field  string
+	Reason string
+}
+
+// String gives the fault in one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s: %s", f.Key, f.Field, f.Reason)
+}
+
+// Faults checks the references of every object, in a fixed order.
+func (c Catalog) Faults() []Fault {
+	return c.ChangeFaults(c.Objects(), nil)
+}
+
+// ChangeFaults checks the objects of one change and what still refers to those
+// it removed. A catalog without faults plus a change without faults has none.
+func (c Catalog) ChangeFaults(changed Objects, removed []Key) []Fault {
+	var faults []Fault
+	for _, service := range changed.Services {
+		faults = append(faults, c.serviceFaults(service)...)
+	}
+	for _, server := range changed.Servers {
+		faults = append(faults, c.serverFaults(server)...)
+	}
+	for _, route := range changed.Routes {
+		faults = append(faults, c.routeFaults(route)...)
+	}
+	for _, policy := range changed.Policies {
+		faults = append(faults, policyFaults(policy)...)
+	}
+	for _, key := range removed {
+		faults = append(faults, c.removalFaults(key)...)
+	}
+	return faults
+}
+
+func (c Catalog) serviceFaults(service Service) []Fault {
+	if _, ok := c.policies.Get(service.Policy); ok {
+		return nil
+	}
+	return []Fault{{
+		Key:    Key{Kind: KindService, Name: service.Name},
+		Field:  "Policy",
+		Reason: fmt.Sprintf("no Policy is named %q", service.Policy),
+	}}
+}
+
+func (c Catalog) serverFaults(server BackendServer) []Fault {
+	if _, ok := c.services.Get(server.Service); ok {
+		return nil
+	}
+	return []Fault{{
+		Key:    Key{Kind: KindBackendServer, Name: server.Name},
+		Field:  "Service",
+		Reason: fmt.Sprintf("no Service is named %q", server.Service),
+	}}
+}
+
+func (c Catalog) routeFaults(route Route) []Fault {
+	var faults []Fault
+	key := Key{Kind: KindRoute, Name: route.Name}
+	if _, ok := c.services.Get(route.Service); !ok {
+		reason := fmt.Sprintf("no Service is named %q", route.Service)
+		faults = append(faults, Fault{Key: key, Field: "Service", Reason: reason})
+	}
+	if route.Idempotent && route.NonIdempotent {
+		reason := "Idempotent and NonIdempotent exclude each other"
+		faults = append(faults, Fault{Key: key, Field: "NonIdempotent", Reason: reason})
+	}
+	prefixes, _ := c.paths.Get(route.Host)
+	owner, _ := prefixes.Get(trimmed(route.PathPrefix))
+	if owner != route.Name {
+		reason := fmt.Sprintf("Route %q has the same Host and PathPrefix", owner)
+		faults = append(faults, Fault{Key: key, Field: "PathPrefix", Reason: reason})
+	}
+	return faults
+}
+
+func policyFaults(policy Policy) []Fault {
+	if policy.MaxEjectionTime >= policy.EjectionTime {
+		return nil
+	}
+	return []Fault{{
+		Key:    Key{Kind: KindPolicy, Name: policy.Name},
+		Field:  "MaxEjectionTime",
+		Reason: "is shorter than EjectionTime",
+	}}
+}
+
+func (c Catalog) removalFaults(key Key) []Fault {
+	count, _ := c.references.Get(key.String())
+	if count == 0 || c.holds(key) {
+		return nil
+	}
+	return []Fault{{
+		Key:    key,
+		Field:  "Name",
+		Reason: fmt.Sprintf("cannot be removed while %d objects refer to it", count),
+	}}
+}
+
+func (c Catalog) holds(key Key) bool {
+	var ok bool
+	switch key.Kind {
+	case KindService:
+		_, ok = c.services.Get(key.Name)
+	case KindBackendServer:
+		_, ok = c.servers.Get(key.Name)
+	case KindRoute:
+		_, ok = c.routes.Get(key.Name)
+	case KindPolicy:
+		_, ok = c.policies.Get(key.Name)
+	}
+	return ok
+}
--- /dev/null
+++ b/state/cataloger/lister.go
@@ -0,0 +1,69 @@
+package cataloger
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Objects is a set of objects by kind, as parsed from documents.
+type Objects struct {
+	Services []Service
+	Servers  []BackendServer
+	Routes   []Route
+	Policies []Policy
+}
+
+// Len counts the objects of all kinds.
+func (o Objects) Len() int {
+	return len(o.Services) + len(o.Servers) + len(o.Routes) + len(o.Policies)
+}
+
+// Objects returns all objects, each kind sorted by name.
+func (c Catalog) Objects() Objects {
+	return Objects{
+		Services: c.sortedServices(),
+		Servers:  c.sortedServers(),
+		Routes:   c.sortedRoutes(),
+		Policies: c.sortedPolicies(),
+	}
+}
+
+func (c Catalog) sortedServices() []Service {
+	all := make([]Service, 0, c.services.Len())
+	for itr := c.services.Iterator(); !itr.Done(); {
+		_, service, _ := itr.Next()
+		all = append(all, service)
+	}
+	slices.SortFunc(all, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+func (c Catalog) sortedServers() []BackendServer {
+	all := make([]BackendServer, 0, c.servers.Len())
+	for itr := c.servers.Iterator(); !itr.Done(); {
+		_, server, _ := itr.Next()
+		all = append(all, server)
+	}
+	slices.SortFunc(all, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+func (c Catalog) sortedRoutes() []Route {
+	all := make([]Route, 0, c.routes.Len())
+	for itr := c.routes.Iterator(); !itr.Done(); {
+		_, route, _ := itr.Next()
+		all = append(all, route)
+	}
+	slices.SortFunc(all, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+func (c Catalog) sortedPolicies() []Policy {
+	all := make([]Policy, 0, c.policies.Len())
+	for itr := c.policies.Iterator(); !itr.Done(); {
+		_, policy, _ := itr.Next()
+		all = append(all, policy)
+	}
+	slices.SortFunc(all, func(a, b Policy) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
--- /dev/null
+++ b/state/loader/loader.go
@@ -0,0 +1,90 @@
+// Package loader reads the settings of one process from a YAML file.
+package loader
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/state/checker"
+)
+
+// Settings are those of one process. They hold no names of other machines but
+// for the log and a few peers.
+type Settings struct {
+	// CallerAddress is the IP:port for callers' HTTP requests.
+	CallerAddress string `yaml:"CallerAddress" validate:"required,hostname_port"`
+	// PeerAddress is the IP:port for other processes.
+	PeerAddress string `yaml:"PeerAddress" validate:"required,hostname_port"`
+	// PeerListen is the IP:port to listen on for other processes, PeerAddress by default.
+	PeerListen string `yaml:"PeerListen" validate:"omitempty,hostname_port"`
+	// AdminAddress is the IP:port for the backend server beside, for status and for metrics.
+	AdminAddress string `yaml:"AdminAddress" validate:"required,hostname_port"`
+	// Zone is the availability zone of the VM.
+	Zone string `yaml:"Zone" validate:"required,max=64"`
+	// LogAddress is the IP:port of the platform's log.
+	LogAddress string `yaml:"LogAddress" validate:"required,hostname_port"`
+	// Peers are IP:ports of other processes to join through.
+	Peers []string `yaml:"Peers" validate:"max=100,dive,hostname_port"`
+	// LogLevel is the least level of log lines: Debug, Info, Warn or Error.
+	LogLevel string `yaml:"LogLevel" default:"Info" validate:"oneof=Debug Info Warn Error"`
+	// LogRetention is how long the platform's log keeps a record at least.
+	LogRetention time.Duration `yaml:"LogRetention" default:"1h" validate:"min=10s,max=8760h"`
+	// KeyLifetime is how long a key may be repeated. It must be well below LogRetention.
+	KeyLifetime time.Duration `yaml:"KeyLifetime" default:"20m" validate:"min=1s,max=720h"`
+	// KeptAttempts bounds the attempts that the guard remembers.
+	KeptAttempts int `yaml:"KeptAttempts" default:"200000" validate:"min=100,max=10000000"`
+	// KeptKeys bounds the keys that the guard remembers.
+	KeptKeys int `yaml:"KeptKeys" default:"100000" validate:"min=100,max=10000000"`
+	// KeptAnswerBytes bounds the answers kept for repeated keys.
+	KeptAnswerBytes int `yaml:"KeptAnswerBytes" default:"16777216" validate:"min=0,max=1073741824"`
+	// StopGrace is how long callers are still taken after a stop was announced.
+	StopGrace time.Duration `yaml:"StopGrace" default:"2s" validate:"min=0s,max=5m"`
+}
+
+// Loader reads settings files.
+type Loader struct {
+	checker *checker.Checker
+}
+
+// New returns a loader that checks files with the given checker.
+func New(checker *checker.Checker) *Loader {
+	return &Loader{checker: checker}
+}
+
+// Load reads one file. Faults of its content are checker.Faults.
+func (l *Loader) Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("reading settings: %w", err)
+	}
+	return l.Parse(file, text)
+}
+
+// Parse reads the text of one file.
+func (l *Loader) Parse(file string, text []byte) (Settings, error) {
+	docs, err := l.checker.Documents(file, text)
+	if err != nil {
+		return Settings{}, fmt.Errorf("reading settings: %w", err)
+	}
+	if len(docs) != 1 {
+		reason := fmt.Sprintf("holds %d documents, but settings are one", len(docs))
+		return Settings{}, checker.Faults{{File: file, Reason: reason}}
+	}
+	var settings Settings
+	if err := l.checker.Decode(file, docs[0], &settings); err != nil {
+		return Settings{}, fmt.Errorf("decoding settings: %w", err)
+	}
+	if settings.PeerListen == "" {
+		settings.PeerListen = settings.PeerAddress
+	}
+	if 2*settings.KeyLifetime > settings.LogRetention {
+		return Settings{}, checker.Faults{{
+			File:   file,
+			Line:   checker.Line(docs[0], "KeyLifetime"),
+			Field:  "KeyLifetime",
+			Reason: fmt.Sprintf("%s is more than half of LogRetention, %s", settings.KeyLifetime, settings.LogRetention),
+		}}
+	}
+	return settings, nil
+}
--- /dev/null
+++ b/transport/appender/appender.go
@@ -0,0 +1,141 @@
+// Package appender is the client of the platform's append-only log.
+package appender
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/rotisserie/eris"
+)
+
+// Streams of the system on the log.
+const (
+	StreamConfiguration = "configuration"
+	StreamClaims        = "claims"
+	StreamMembers       = "members"
+)
+
+const (
+	dialTimeout   = time.Second
+	appendTimeout = 2 * time.Second
+	// readSlack is allowed for a read beyond the time that it waits for records.
+	readSlack = 2 * time.Second
+	// MaxRecords bounds the records of one read.
+	MaxRecords = 1000
+)
+
+var (
+	// ErrRefused means that the log did not take the record and never will.
+	ErrRefused = eris.New("log refused the record")
+	// ErrUnknown means that the record may or may not be on the log.
+	ErrUnknown = eris.New("log did not confirm the record")
+)
+
+// Entry is one record on a stream.
+type Entry struct {
+	Offset int64 `json:"Offset"`
+	// AtMs is the Unix time in ms at which the log took the record.
+	AtMs int64  `json:"AtMs"`
+	Data []byte `json:"Data"`
+}
+
+// Batch is the result of one read.
+type Batch struct {
+	// Earliest is the lowest offset still kept.
+	Earliest int64 `json:"Earliest"`
+	// End is the offset that the next record will get.
+	End     int64   `json:"End"`
+	Entries []Entry `json:"Entries"`
+}
+
+type appended struct {
+	Offset int64 `json:"Offset"`
+}
+
+// Appender is a client of the log. It is safe for concurrent use.
+type Appender struct {
+	address string
+	client  *client.Client
+}
+
+// New returns a client of the log at an IP:port.
+func New(address string) (*Appender, error) {
+	opened, err := client.NewClient(
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(dialTimeout),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("opening the log's client: %w", err)
+	}
+	return &Appender{address: address, client: opened}, nil
+}
+
+// Append adds a record to a stream and returns its offset. An error that is
+// not ErrRefused leaves open whether the record is on the log.
+func (a *Appender) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	defer protocol.ReleaseResponse(response)
+	request.SetMethod(consts.MethodPost)
+	request.SetRequestURI("http://" + a.address + "/streams/" + stream)
+	request.SetBody(data)
+	request.SetOptions(config.WithRequestTimeout(bounded(ctx, appendTimeout)))
+	if err := a.client.Do(ctx, request, response); err != nil {
+		return 0, fmt.Errorf("appending to %s: %w: %w", stream, ErrUnknown, err)
+	}
+	if code := response.StatusCode(); code != consts.StatusOK {
+		return 0, fmt.Errorf("appending to %s: %w: status %d", stream, refusal(code), code)
+	}
+	var result appended
+	if err := json.Unmarshal(response.Body(), &result); err != nil {
+		return 0, fmt.Errorf("appending to %s: %w: %w", stream, ErrUnknown, err)
+	}
+	return result.Offset, nil
+}
+
+// refusal tells a refusal before the write from a failure at an unknown point.
+func refusal(code int) error {
+	if code == consts.StatusTooManyRequests || code == consts.StatusServiceUnavailable {
+		return ErrRefused
+	}
+	return ErrUnknown
+}
+
+// Read returns the records of a stream from an offset on. It waits up to wait
+// for one if there is none.
+func (a *Appender) Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
+	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	defer protocol.ReleaseResponse(response)
+	request.SetMethod(consts.MethodGet)
+	request.SetRequestURI("http://" + a.address + "/streams/" + stream +
+		"?From=" + strconv.FormatInt(from, 10) + "&WaitMs=" + strconv.FormatInt(wait.Milliseconds(), 10))
+	request.SetOptions(config.WithRequestTimeout(bounded(ctx, wait+readSlack)))
+	if err := a.client.Do(ctx, request, response); err != nil {
+		return Batch{}, fmt.Errorf("reading %s: %w", stream, err)
+	}
+	if code := response.StatusCode(); code != consts.StatusOK {
+		return Batch{}, fmt.Errorf("reading %s: %w", stream, eris.Errorf("status %d", code))
+	}
+	var batch Batch
+	if err := json.Unmarshal(response.Body(), &batch); err != nil {
+		return Batch{}, fmt.Errorf("decoding records of %s: %w", stream, err)
+	}
+	return batch, nil
+}
+
+func bounded(ctx context.Context, timeout time.Duration) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return timeout
+	}
+	return max(time.Millisecond, min(timeout, time.Until(deadline)))
+}
--- /dev/null
+++ b/transport/connector/connector.go
@@ -0,0 +1,79 @@
+// Package connector keeps connections to other processes and calls their guards.
+package connector
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+)
+
+const (
+	// idleExpiry closes connections that have not been used.
+	idleExpiry = 2 * time.Minute
+	// maxIdlePerGuard bounds the idle connections kept to one guard.
+	maxIdlePerGuard = 32
+	dialTimeout     = time.Second
+	// MaxMessageBytes bounds one message between processes.
+	MaxMessageBytes = 80 << 20
+)
+
+// Options are the settings of both ends of a connection.
+func Options() drpcmanager.Options {
+	return drpcmanager.Options{
+		SoftCancel: true,
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+	}
+}
+
+// Connector opens and keeps connections. It is safe for concurrent use.
+type Connector struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+	// dial opens a TCP connection; tests replace it.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// New returns a connector without connections. They will leave from the given
+// IP number, so that the other side sees the address that the process is known by.
+func New(source net.IP) *Connector {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return &Connector{
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  idleExpiry,
+			KeyCapacity: maxIdlePerGuard,
+		}),
+		dial: dialer.DialContext,
+	}
+}
+
+// Guard returns a client of the guard at an IP:port. Each call takes a
+// connection of its own, since a connection carries one call at a time.
+func (c *Connector) Guard(ctx context.Context, address string) messenger.DRPCGuardClient {
+	return messenger.NewDRPCGuardClient(c.pool.Get(ctx, address, c.open))
+}
+
+func (c *Connector) open(ctx context.Context, address string) (drpcpool.Conn, error) {
+	raw, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connecting to %s: %w", address, err)
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: Options()}), nil
+}
+
+// Close closes all idle connections.
+func (c *Connector) Close() error {
+	if err := c.pool.Close(); err != nil {
+		return fmt.Errorf("closing connections: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/router/attempt.go
@@ -0,0 +1,338 @@
+package router
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
+	"github.com/foxtailhall/foxtailhall/coordination/picker"
+	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/tracker"
+)
+
+// resultKind is how an attempt ended.
+type resultKind uint8
+
+const (
+	// resultAnswered means that the backend server's answer has begun.
+	resultAnswered resultKind = iota + 1
+	// resultRefused means that the attempt has not run and never will.
+	resultRefused
+	// resultRan means that the key ran before and its answer is not kept.
+	resultRan
+	// resultUnknown means that the guard does not know the outcome.
+	resultUnknown
+	// resultLost means that the path failed and the guard was not heard.
+	resultLost
+)
+
+// result is the end, or the begun answer, of one attempt.
+type result struct {
+	kind    resultKind
+	entry   tracker.Entry
+	attempt dispatcher.AttemptID
+	issued  int64
+	reason  string
+	// verdict is set for refusals and unknown outcomes.
+	verdict *messenger.Verdict
+	head    *messenger.AnswerHead
+	// first holds the body's first bytes, the whole body if ended.
+	first  []byte
+	ended  bool
+	stream messenger.DRPCGuard_ForwardClient
+	cancel context.CancelFunc
+	took   time.Duration
+	// touched is set once bytes of a long request body were read.
+	touched bool
+}
+
+// bad tells whether an idempotent request is worth another try.
+func (r result) bad() bool {
+	return r.kind != resultAnswered || r.head.Status >= serverErrorStatus
+}
+
+const serverErrorStatus = 500
+
+var (
+	errCutOff   = eris.New("answer was cut off")
+	errUnframed = eris.New("guard sent an unexpected frame")
+)
+
+// pick chooses the server of the next attempt and logs nothing.
+func (r *Router) pick(request *call, tried []uint64) (tracker.Entry, picker.Reason) {
+	lane := r.deps.Lanes.Lane(request.service.Name)
+	if lane == nil {
+		return tracker.Entry{}, picker.ReasonNone
+	}
+	self := r.deps.Self()
+	query := picker.Query{
+		Self:       self.Incarnation,
+		Zone:       self.Zone,
+		Now:        r.deps.Now().Mono,
+		Random:     r.deps.Random(),
+		Idempotent: request.idempotent,
+	}
+	for _, incarnation := range tried {
+		query = query.WithTried(incarnation)
+	}
+	return picker.Pick(lane.Pool, query)
+}
+
+// send runs one attempt at a server until its answer has begun or it has failed.
+func (r *Router) send(ctx context.Context, request *call, entry tracker.Entry, reason string) result {
+	request.attempts++
+	r.logRouted(request, entry, reason)
+	ctx, cancel := context.WithCancel(ctx)
+	began := r.deps.Now()
+	outcome := result{entry: entry, cancel: cancel, issued: began.UnixMilli(), attempt: r.newAttempt()}
+	entry.Server.Begin(began.Mono)
+	r.exchange(ctx, request, &outcome)
+	entry.Server.End()
+	now := r.deps.Now()
+	outcome.took = now.Since(began)
+	r.learn(ctx, request, &outcome, now.Mono)
+	if outcome.kind != resultAnswered {
+		cancel()
+	}
+	return outcome
+}
+
+func (r *Router) logRouted(request *call, entry tracker.Entry, reason string) {
+	r.deps.Meter.Attempt(request.service.Name, reason)
+	r.deps.Log.Info("Routed", "Request", request.id, "Route", request.route.Name,
+		"Service", request.service.Name, "Attempt", request.attempts, "Server", entry.Member.Address,
+		"Zone", entry.Member.Zone, "Reason", reason, "Load", entry.Server.Load())
+}
+
+func (r *Router) newAttempt() dispatcher.AttemptID {
+	var id dispatcher.AttemptID
+	binary.BigEndian.PutUint64(id[:8], r.deps.Random())
+	binary.BigEndian.PutUint64(id[8:], r.deps.Random())
+	return id
+}
+
+// exchange speaks with the guard and fills in how the attempt went.
+func (r *Router) exchange(ctx context.Context, request *call, outcome *result) {
+	outcome.kind = resultLost
+	stream, err := r.deps.Guard(ctx, outcome.entry.Member.Address).Forward(ctx)
+	if err != nil {
+		outcome.reason = "Connect"
+		return
+	}
+	outcome.stream = stream
+	if err := stream.Send(r.requestFrame(request, outcome)); err != nil {
+		outcome.reason = "Send"
+		return
+	}
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			outcome.reason = "Receive"
+			return
+		}
+		if verdict := frame.GetVerdict(); verdict != nil {
+			if verdict.Admitted {
+				r.upload(request, outcome)
+				continue
+			}
+			outcome.take(verdict)
+			return
+		}
+		if head := frame.GetAnswer(); head != nil {
+			outcome.head = head
+			outcome.readFirst()
+			return
+		}
+		outcome.reason = errUnframed.Error()
+		return
+	}
+}
+
+func (r *Router) requestFrame(request *call, outcome *result) *messenger.Frame {
+	left := -r.deps.Now().Since(request.deadline())
+	head := &messenger.RequestHead{
+		Attempt:     outcome.attempt[:],
+		Incarnation: outcome.entry.Member.Incarnation,
+		Key:         request.key,
+		Idempotent:  request.idempotent,
+		IssuedMs:    outcome.issued,
+		BudgetUs:    left.Microseconds(),
+		Method:      request.method,
+		Uri:         request.uri,
+		Headers:     request.headers,
+		BodyLength:  request.length,
+		Service:     request.service.Name,
+		Caller:      request.caller,
+		Route:       request.routeHash,
+	}
+	if request.long == nil {
+		head.Body = request.body
+	} else {
+		head.BodyFollows = true
+	}
+	return &messenger.Frame{Part: &messenger.Frame_Request{Request: head}}
+}
+
+// upload streams a long body. A failure ends the stream, which the guard sees.
+func (r *Router) upload(request *call, outcome *result) {
+	outcome.touched = true
+	err := copyBody(outcome.stream, request.long)
+	if err == nil {
+		request.unread = false
+		return
+	}
+	r.deps.Log.Info("UploadBroken", "Request", request.id, "Error", err)
+	outcome.cancel()
+}
+
+func copyBody(stream messenger.DRPCGuard_ForwardClient, body io.Reader) error {
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			data := &messenger.Frame{Part: &messenger.Frame_Data{Data: buffer[:n]}}
+			if sendErr := stream.Send(data); sendErr != nil {
+				return fmt.Errorf("sending the body: %w", sendErr)
+			}
+		}
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return endBody(stream)
+		}
+		if err != nil {
+			return fmt.Errorf("reading the caller's body: %w", err)
+		}
+	}
+}
+
+func endBody(stream messenger.DRPCGuard_ForwardClient) error {
+	if err := stream.Send(&messenger.Frame{Part: &messenger.Frame_End{End: true}}); err != nil {
+		return fmt.Errorf("ending the body: %w", err)
+	}
+	return nil
+}
+
+// take turns a guard's verdict into the attempt's end.
+func (r *result) take(verdict *messenger.Verdict) {
+	r.verdict = verdict
+	r.reason = verdict.Reason
+	switch answerer.Outcome(verdict.Outcome) {
+	case answerer.OutcomeNotRun:
+		r.kind = resultRefused
+	case answerer.OutcomeRan:
+		r.kind = resultRan
+	default:
+		r.kind = resultUnknown
+	}
+}
+
+// readFirst reads the body's beginning: all of a short one.
+func (r *result) readFirst() {
+	for {
+		frame, err := r.stream.Recv()
+		if err != nil {
+			r.reason = "Receive"
+			return
+		}
+		if frame.GetEnd() {
+			r.ended = true
+			r.kind = resultAnswered
+			return
+		}
+		if verdict := frame.GetVerdict(); verdict != nil {
+			r.take(verdict)
+			return
+		}
+		r.first = append(r.first, frame.GetData()...)
+		if len(r.first) >= ShortBodyBytes || r.head.Length > ShortBodyBytes {
+			r.kind = resultAnswered
+			return
+		}
+	}
+}
+
+// learn updates the router's view of the server.
+func (r *Router) learn(ctx context.Context, request *call, outcome *result, now time.Duration) {
+	server := outcome.entry.Server
+	lane := r.deps.Lanes.Lane(request.service.Name)
+	switch outcome.kind {
+	case resultAnswered:
+		took := outcome.took
+		if outcome.bad() {
+			took += badAnswerPenalty
+		}
+		server.Answered(now, took, int64(outcome.head.InFlight+outcome.head.Queued))
+		if lane != nil && request.long == nil {
+			lane.Pool.Typical.Observe(outcome.took)
+			lane.Late.Observe(outcome.took)
+		}
+	case resultRefused:
+		server.Heard(now)
+		if outcome.verdict.Leaving || outcome.verdict.Ejected {
+			server.Refused(now)
+		}
+	case resultUnknown, resultRan:
+		server.Heard(now)
+		server.Observe(outcome.took + badAnswerPenalty)
+	case resultLost:
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			server.Failed(now)
+		}
+	}
+}
+
+// badAnswerPenalty is added to the time of a bad answer, so that a server that
+// fails fast does not look quick.
+const badAnswerPenalty = 500 * time.Millisecond
+
+// resolve asks a guard what became of an attempt whose answer was lost, until
+// it says or the context ends.
+func (r *Router) resolve(ctx context.Context, request *call, lost result) dispatcher.State {
+	for {
+		state, err := r.resolveOnce(ctx, lost)
+		if err == nil && state != dispatcher.StateRunning {
+			r.deps.Log.Info("Resolved", "Request", request.id, "Server", lost.entry.Member.Address, "State", state.String())
+			return state
+		}
+		if waitErr := pause(ctx, resolvePeriod); waitErr != nil {
+			r.deps.Log.Info("Unresolved", "Request", request.id, "Server", lost.entry.Member.Address, "Error", err)
+			return dispatcher.StateUnseen
+		}
+	}
+}
+
+const (
+	resolvePeriod  = 50 * time.Millisecond
+	resolveTimeout = time.Second
+)
+
+func (r *Router) resolveOnce(ctx context.Context, lost result) (dispatcher.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	reply, err := r.deps.Guard(ctx, lost.entry.Member.Address).Resolve(ctx, &messenger.ResolveRequest{
+		Attempt:     lost.attempt[:],
+		Incarnation: lost.entry.Member.Incarnation,
+		IssuedMs:    lost.issued,
+	})
+	if err != nil {
+		return dispatcher.StateUnseen, fmt.Errorf("resolving an attempt: %w", err)
+	}
+	return dispatcher.State(reply.State), nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/transport/runner/configuration.go
@@ -0,0 +1,178 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/publisher"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/parser"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+	"github.com/foxtailhall/foxtailhall/transport/appender"
+)
+
+const (
+	// followWait is how long a read waits for a new record.
+	followWait = time.Second
+	// followRetry is the pause after a failed read.
+	followRetry = 200 * time.Millisecond
+	// fetchTimeout bounds the fetch of a version from a peer.
+	fetchTimeout = 3 * time.Second
+	// copyShare is how many times the head is copied within the log's retention.
+	copyShare = 3
+	// rankDelay spaces the copies of several processes, so that one of them suffices.
+	rankDelay = 2 * time.Second
+)
+
+// followConfiguration reads the configuration stream for as long as the process runs.
+func (r *Runner) followConfiguration(ctx context.Context) error {
+	silent := false
+	for ctx.Err() == nil {
+		next := r.folded.Load().Next()
+		batch, err := r.appender.Read(ctx, appender.StreamConfiguration, next, followWait)
+		if err != nil {
+			if !silent && ctx.Err() == nil {
+				r.deps.Log.Warn("LogUnreachable", "Stream", appender.StreamConfiguration, "Error", err)
+			}
+			silent = true
+			pause(ctx, followRetry)
+			continue
+		}
+		if silent {
+			r.deps.Log.Info("LogReached", "Stream", appender.StreamConfiguration)
+		}
+		silent = false
+		r.logReached.Store(int64(r.now().Mono))
+		r.foldBatch(next, batch)
+	}
+	return nil
+}
+
+func (r *Runner) foldBatch(from int64, batch appender.Batch) {
+	r.foldMu.Lock()
+	defer r.foldMu.Unlock()
+	state := r.folded.Load()
+	if state.Next() != from {
+		return
+	}
+	next := state.WithEarliest(batch.Earliest)
+	if state.Exact() && !next.Exact() {
+		r.deps.Log.Warn("RecordsMissed", "Stream", appender.StreamConfiguration, "Earliest", batch.Earliest)
+	}
+	r.keepFold(next)
+	for _, entry := range batch.Entries {
+		if entry.Offset != next.Next() {
+			continue
+		}
+		next = r.foldEntry(next, entry)
+		r.keepFold(next)
+	}
+}
+
+func (r *Runner) foldEntry(state publisher.State, entry appender.Entry) publisher.State {
+	var record publisher.Record
+	if err := json.Unmarshal(entry.Data, &record); err != nil {
+		r.deps.Log.Warn("MalformedRecord", "Stream", appender.StreamConfiguration, "Offset", entry.Offset, "Error", err)
+		record = publisher.Record{}
+	}
+	next, ruling := state.WithRecord(entry.Offset, record)
+	r.deps.Log.Info("ConfigurationRecord", "Offset", entry.Offset, "Publication", record.ID, "Base", record.Base,
+		"Copy", record.Copy, "Verdict", ruling.Verdict.String(), "Version", ruling.Version, "Reason", ruling.Reason)
+	return next
+}
+
+// keepFold publishes a newer fold. The caller holds foldMu.
+func (r *Runner) keepFold(next publisher.State) {
+	before := r.folded.Load().Catalog().Version()
+	after := next.Catalog().Version()
+	if after < before {
+		r.deps.Log.Error("InvariantBroken", "Invariant", "VersionNeverFalls", "Before", before, "After", after)
+		r.deps.Meter.Event("InvariantBroken")
+		return
+	}
+	r.folded.Store(&next)
+	if after == before {
+		return
+	}
+	r.deps.Log.Info("VersionInForce", "Version", after, "Publication", next.Catalog().ID())
+	r.deps.Meter.Event("VersionInForce")
+	r.guard.Configure()
+	r.askRefresh()
+}
+
+// fetchIfNewer takes a newer version from a peer.
+func (r *Runner) fetchIfNewer(ctx context.Context, address string, version uint64) {
+	if version <= r.catalog().Version() || !r.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer r.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	reply, err := r.connector.Guard(ctx, address).Fetch(ctx, &messenger.FetchRequest{Have: r.catalog().Version()})
+	if err != nil {
+		r.deps.Log.Debug("FetchFailed", "Peer", address, "Error", err)
+		return
+	}
+	r.foldMu.Lock()
+	defer r.foldMu.Unlock()
+	next, err := r.folded.Load().WithPeer(reply.Version, reply.AsOf, reply.Id, reply.Objects)
+	if err != nil {
+		r.deps.Log.Warn("PeerVersionRefused", "Peer", address, "Version", reply.Version, "Error", err)
+		return
+	}
+	r.deps.Log.Info("VersionFetched", "Peer", address, "Version", reply.Version)
+	r.keepFold(next)
+}
+
+// configuration returns the version in force for a peer that has an older one.
+func (r *Runner) configuration(have uint64) (*messenger.Configuration, error) {
+	catalog := r.catalog()
+	reply := &messenger.Configuration{Version: catalog.Version(), AsOf: catalog.AsOf(), Id: catalog.ID()}
+	if catalog.Version() <= have {
+		return reply, nil
+	}
+	objects, err := parser.Format(catalog.Objects())
+	if err != nil {
+		return nil, err
+	}
+	reply.Objects = objects
+	return reply, nil
+}
+
+// copyHead appends a copy of the head before the log's retention takes it. The
+// processes take turns by rank, so that one copy usually suffices.
+func (r *Runner) copyHead(ctx context.Context) {
+	state := r.folded.Load()
+	if !state.Exact() || state.Catalog().Version() == 0 || r.stopping.Load() {
+		return
+	}
+	if r.logSilence() > 2*followWait || r.now().Since(r.claims.headSeen(state.HeadAt(), r.now())) < r.copyAfter() {
+		return
+	}
+	record, err := state.Copy()
+	if err != nil {
+		r.deps.Log.Error("CopyFailed", "Error", err)
+		return
+	}
+	data, err := json.Marshal(record)
+	if err != nil {
+		r.deps.Log.Error("CopyFailed", "Error", err)
+		return
+	}
+	if _, err := r.appender.Append(ctx, appender.StreamConfiguration, data); err != nil {
+		r.deps.Log.Warn("CopyFailed", "Error", err)
+		return
+	}
+	r.deps.Log.Info("HeadCopied", "Version", record.Version, "AsOf", record.AsOf)
+}
+
+func (r *Runner) copyAfter() time.Duration {
+	rank := 0
+	for _, member := range r.roster.Load().Members() {
+		if member.State.Live() && member.State != registrar.StateLeaving && member.Incarnation < r.incarnation {
+			rank++
+		}
+	}
+	return r.deps.Settings.LogRetention/copyShare + time.Duration(rank)*rankDelay
+}
--- /dev/null
+++ b/transport/runner/evidence.go
@@ -0,0 +1,173 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+	"github.com/foxtailhall/foxtailhall/transport/converter"
+)
+
+const (
+	// reportTimeout bounds one report to an ejector.
+	reportTimeout = 500 * time.Millisecond
+	// orderTimeout bounds one lock request or order.
+	orderTimeout = time.Second
+)
+
+// reportOnce sends the guard's digest to the service's ejector if one is due.
+func (r *Runner) reportOnce(ctx context.Context) {
+	service, evidence, due := r.guard.Report()
+	if !due {
+		return
+	}
+	elected, ok := ejector.Elected(service, r.roster.Load().Pool(service))
+	if !ok {
+		return
+	}
+	go r.report(ctx, elected, service, evidence)
+}
+
+func (r *Runner) report(ctx context.Context, elected registrar.Member, service string, evidence detector.Evidence) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	message := converter.EvidenceTo(r.incarnation, service, evidence)
+	baseline, err := r.connector.Guard(ctx, elected.Address).Report(ctx, message)
+	if err != nil {
+		r.deps.Log.Debug("ReportFailed", "Ejector", elected.Address, "Error", err)
+		return
+	}
+	if baseline.Accepted {
+		r.guard.SetBaseline(converter.BaselineFrom(baseline))
+	}
+}
+
+// takeReport handles a guard's digest as the service's ejector.
+func (r *Runner) takeReport(message *messenger.Evidence) *messenger.Baseline {
+	pool := r.roster.Load().Pool(message.Service)
+	r.ejectMu.Lock()
+	decider, ok := r.ejectorOf(message.Service)
+	if !ok {
+		r.ejectMu.Unlock()
+		return &messenger.Baseline{}
+	}
+	evidence := converter.EvidenceFrom(message)
+	baseline, actions := decider.Report(r.now(), pool, message.Incarnation, evidence)
+	r.ejectMu.Unlock()
+	r.perform(message.Service, actions)
+	return converter.BaselineTo(baseline)
+}
+
+// ejectorOf returns the ejector of a service under the policy in force. The
+// caller holds ejectMu.
+func (r *Runner) ejectorOf(service string) (*ejector.Ejector, bool) {
+	catalog := r.catalog()
+	found, ok := catalog.Service(service)
+	if !ok {
+		return nil, false
+	}
+	policy, _ := catalog.PolicyOf(service)
+	params := ejector.Params{
+		Service:    service,
+		FloorSlots: found.FloorSlots,
+		Caution:    policy.Caution,
+		Lifetime:   ejector.RoundLifetime,
+	}
+	decider, ok := r.ejectors[service]
+	if !ok {
+		decider = ejector.New(r.incarnation, params)
+		r.ejectors[service] = decider
+	}
+	decider.SetParams(params)
+	return decider, true
+}
+
+func (r *Runner) tickEjectors(context.Context) {
+	r.ejectMu.Lock()
+	due := map[string][]ejector.Action{}
+	for service, decider := range r.ejectors {
+		if actions := decider.Tick(r.now()); len(actions) > 0 {
+			due[service] = actions
+		}
+	}
+	r.ejectMu.Unlock()
+	for service, actions := range due {
+		r.perform(service, actions)
+	}
+}
+
+// perform carries out what an ejector decided.
+func (r *Runner) perform(service string, actions []ejector.Action) {
+	for _, action := range actions {
+		switch action.Kind {
+		case ejector.ActionLock:
+			go r.lock(service, action)
+		case ejector.ActionOrder:
+			r.logAction("EjectionOrdered", service, action)
+			r.deps.Meter.Event("Order" + action.Order.String())
+			go r.order(service, action)
+		case ejector.ActionDecline:
+			r.logAction("EjectionDeclined", service, action)
+			r.deps.Meter.Event("EjectionDeclined")
+		}
+	}
+}
+
+func (r *Runner) logAction(event, service string, action ejector.Action) {
+	r.deps.Log.Info(event, "Service", service, "Server", action.Member.Address, "Order", action.Order.String(),
+		"Reason", action.Reason, "Term", action.Term.Counter, "CapacityLeft", action.Capacity)
+}
+
+func (r *Runner) lock(service string, action ejector.Action) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	reply, err := r.connector.Guard(ctx, action.Member.Address).Lock(ctx, &messenger.LockRequest{
+		Term:        converter.TermTo(action.Term),
+		Service:     service,
+		Incarnation: action.Member.Incarnation,
+	})
+	if err != nil {
+		r.deps.Log.Debug("LockFailed", "Server", action.Member.Address, "Error", err)
+		return
+	}
+	answer := ejector.Answer{
+		Locked:   reply.Locked,
+		Highest:  converter.TermFrom(reply.Highest),
+		Slots:    reply.Slots,
+		State:    registrar.State(min(reply.State, uint32(registrar.StateGone))),
+		Evidence: converter.EvidenceFrom(reply.Evidence),
+	}
+	r.ejectMu.Lock()
+	decider, ok := r.ejectors[service]
+	var actions []ejector.Action
+	if ok {
+		actions = decider.Locked(r.now(), action.Term, reply.Incarnation, answer)
+	}
+	r.ejectMu.Unlock()
+	r.perform(service, actions)
+}
+
+func (r *Runner) order(service string, action ejector.Action) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	reply, err := r.connector.Guard(ctx, action.Member.Address).Order(ctx, &messenger.OrderRequest{
+		Term:        converter.TermTo(action.Term),
+		Incarnation: action.Member.Incarnation,
+		Kind:        uint32(action.Order),
+	})
+	if err != nil {
+		r.deps.Log.Info("OrderFailed", "Server", action.Member.Address, "Error", err)
+		return
+	}
+	r.ejectMu.Lock()
+	decider, ok := r.ejectors[service]
+	var actions []ejector.Action
+	if ok {
+		actions = decider.Ordered(r.now(), action.Term, action.Member.Incarnation, action.Order, reply.Done)
+	}
+	r.ejectMu.Unlock()
+	r.perform(service, actions)
+}
--- /dev/null
+++ b/transport/runner/loops.go
@@ -0,0 +1,112 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/transport/connector"
+	"github.com/foxtailhall/foxtailhall/transport/guard"
+)
+
+const (
+	// reportPeriod is how often the guard looks whether a report is due.
+	reportPeriod = 20 * time.Millisecond
+	// ejectPeriod is how often ejectors look for overdue answers.
+	ejectPeriod = 20 * time.Millisecond
+	// probePeriod is how often silent paths are looked for.
+	probePeriod = 100 * time.Millisecond
+	// copyPeriod is how often it is looked whether the head must be copied.
+	copyPeriod = time.Second
+	// drainPeriod is how often a stop looks whether callers are still served.
+	drainPeriod = 10 * time.Millisecond
+	// closureTimeout bounds the last word to the log at a planned stop.
+	closureTimeout = 3 * time.Second
+	// farewellTime lets the news of the stop spread before the process ends.
+	farewellTime = 300 * time.Millisecond
+)
+
+func (r *Runner) startServers(ctx context.Context, group *errgroup.Group, peers net.Listener) {
+	group.Go(func() error { return r.servePeers(ctx, peers) })
+	group.Go(r.router.Run)
+	group.Go(r.admin.Run)
+}
+
+func (r *Runner) servePeers(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterGuard(mux, &responder{runner: r}); err != nil {
+		return fmt.Errorf("registering the guard: %w", err)
+	}
+	options := drpcserver.Options{
+		Manager: connector.Options(),
+		Log:     func(err error) { r.deps.Log.Warn("PeerConnectionFailed", "Error", err) },
+	}
+	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener); err != nil {
+		return fmt.Errorf("serving other processes: %w", err)
+	}
+	return nil
+}
+
+func (r *Runner) startLoops(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return r.refreshLanes(ctx) })
+	group.Go(func() error { return every(ctx, gossiper.PingPeriod, func() { r.gossipOnce(ctx) }) })
+	group.Go(func() error { return every(ctx, guard.TickPeriod, r.tickGuard) })
+	group.Go(func() error { return every(ctx, reportPeriod, func() { r.reportOnce(ctx) }) })
+	group.Go(func() error { return every(ctx, ejectPeriod, func() { r.tickEjectors(ctx) }) })
+	group.Go(func() error { return every(ctx, probePeriod, func() { r.probeSilent(ctx) }) })
+	group.Go(func() error { return every(ctx, copyPeriod, func() { r.copyHead(ctx) }) })
+	group.Go(func() error { return r.followConfiguration(ctx) })
+	group.Go(func() error { return r.claims.follow(ctx) })
+	group.Go(func() error { return r.claims.write(ctx) })
+	group.Go(func() error { return r.enlist(ctx) })
+}
+
+func (r *Runner) tickGuard() {
+	roster := r.roster.Load()
+	r.guard.Tick(roster.HealthySlots)
+}
+
+// refreshLanes rebuilds what requests read after roster or configuration changed.
+func (r *Runner) refreshLanes(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.refresh:
+			r.lanes.Update(r.now().Mono, *r.roster.Load(), r.catalog())
+		}
+	}
+}
+
+func (r *Runner) askRefresh() {
+	select {
+	case r.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// stop is the planned stop: leave, drain, last word, then the callers.
+func (r *Runner) stop(ctx context.Context) {
+	r.deps.Log.Info("Stopping", "Incarnation", r.incarnation)
+	began := r.now()
+	r.stopping.Store(true)
+	if err := r.guard.Leave(ctx); err != nil {
+		r.deps.Log.Error("LeaveFailed", "Error", err)
+	}
+	r.writeClosure(ctx)
+	pause(ctx, r.deps.Settings.StopGrace-r.now().Since(began))
+	go func() { _ = r.router.Close() }()
+	for r.router.Active() > 0 && pause(ctx, drainPeriod) {
+		continue
+	}
+	r.farewell()
+	close(r.stopped)
+	pause(ctx, farewellTime)
+}
--- /dev/null
+++ b/transport/runner/membership.go
@@ -0,0 +1,262 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+	"github.com/foxtailhall/foxtailhall/state/tracker"
+	"github.com/foxtailhall/foxtailhall/transport/appender"
+	"github.com/foxtailhall/foxtailhall/transport/converter"
+)
+
+const (
+	// pingTimeout is how long a reply to a ping may take.
+	pingTimeout = 500 * time.Millisecond
+	// relayTimeout is how long a relayed ping may take in all.
+	relayTimeout = time.Second
+	// silenceToProbe is how long requests may be in flight without a sign before the path is probed.
+	silenceToProbe = 300 * time.Millisecond
+	// enlistShare is how many times an entry on the log is renewed within the log's retention.
+	enlistShare = 3
+	// enlistRetry is the pause after a failed entry.
+	enlistRetry = 2 * time.Second
+	// lonelyPeriod is how often the log is read for addresses.
+	lonelyPeriod = 5 * time.Second
+)
+
+// noteRoster publishes the gossip's view to the readers. The caller holds
+// gossipMu, or is the only one to know the runner.
+func (r *Runner) noteRoster() {
+	roster := r.gossip.Roster()
+	self := r.gossip.Self()
+	before := r.roster.Swap(&roster)
+	r.self.Store(&self)
+	if before == nil || before.Digest() != roster.Digest() {
+		r.askRefresh()
+	}
+}
+
+// standingChanged tells the fleet of the guard's new standing.
+func (r *Runner) standingChanged() {
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	standing := r.guard.Standing()
+	self := r.gossip.Self()
+	if self.Service == standing.Service && self.Slots == standing.Slots && self.State == standing.State {
+		return
+	}
+	self.Service, self.Slots, self.State = standing.Service, standing.Slots, standing.State
+	r.gossip.SetSelf(self)
+	r.noteRoster()
+}
+
+// farewell tells the fleet that the process is gone.
+func (r *Runner) farewell() {
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	r.gossip.SetSelf(r.gossip.Self().WithState(registrar.StateGone))
+	r.noteRoster()
+}
+
+func (r *Runner) gossipOnce(ctx context.Context) {
+	r.gossipMu.Lock()
+	r.gossip.SetConfigVersion(r.catalog().Version())
+	pings := r.gossip.Tick(r.now())
+	r.noteRoster()
+	r.gossipMu.Unlock()
+	for _, ping := range pings {
+		go r.ping(ctx, ping)
+	}
+}
+
+// ping sends one message and handles its reply or the lack of one.
+func (r *Runner) ping(ctx context.Context, ping gossiper.Ping) {
+	reply, err := r.exchangeGossip(ctx, ping)
+	if err == nil && (ping.Incarnation == 0 || reply.Sender.Incarnation == ping.Incarnation) {
+		r.acked(ctx, ping, reply)
+		return
+	}
+	if ping.Incarnation == 0 {
+		return
+	}
+	r.deps.Log.Debug("PingFailed", "Address", ping.Address, "Error", err)
+	r.relay(ctx, ping.Incarnation)
+}
+
+func (r *Runner) exchangeGossip(ctx context.Context, ping gossiper.Ping) (gossiper.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	reply, err := r.connector.Guard(ctx, ping.Address).Gossip(ctx, converter.GossipTo(ping.Message))
+	if err != nil {
+		return gossiper.Message{}, fmt.Errorf("exchanging gossip: %w", err)
+	}
+	return converter.GossipFrom(reply), nil
+}
+
+func (r *Runner) acked(ctx context.Context, ping gossiper.Ping, reply gossiper.Message) {
+	r.gossipMu.Lock()
+	more := r.gossip.Acked(r.now(), reply)
+	r.noteRoster()
+	r.gossipMu.Unlock()
+	r.heard(ping.Incarnation)
+	r.fetchIfNewer(ctx, ping.Address, reply.ConfigVersion)
+	for _, next := range more {
+		go r.ping(ctx, next)
+	}
+}
+
+// heard notes in all lanes that the path to a member works in both directions.
+func (r *Runner) heard(incarnation uint64) {
+	if server := r.serverOf(incarnation); server != nil {
+		server.Heard(r.now().Mono)
+	}
+}
+
+// serverOf returns the router's view of a member, nil if it serves nothing.
+func (r *Runner) serverOf(incarnation uint64) *tracker.Server {
+	member, ok := r.roster.Load().Member(incarnation)
+	if !ok {
+		return nil
+	}
+	lane := r.lanes.Lane(member.Service)
+	if lane == nil {
+		return nil
+	}
+	entry, _ := lane.Pool.Find(incarnation)
+	return entry.Server
+}
+
+// relay asks others to try a member that did not answer.
+func (r *Runner) relay(ctx context.Context, incarnation uint64) {
+	r.gossipMu.Lock()
+	relays := r.gossip.Failed(incarnation)
+	r.gossipMu.Unlock()
+	if server := r.serverOf(incarnation); server != nil {
+		server.Failed(r.now().Mono)
+	}
+	reached := make(chan bool, len(relays))
+	for _, relay := range relays {
+		go func() { reached <- r.relayOnce(ctx, relay) }()
+	}
+	for range relays {
+		if <-reached {
+			r.deps.Log.Info("PathCut", "Server", relays[0].Target.Address)
+			return
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	r.unreached(incarnation)
+}
+
+func (r *Runner) relayOnce(ctx context.Context, relay gossiper.Relay) bool {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	reply, err := r.connector.Guard(ctx, relay.Via.Address).Relay(ctx, &messenger.RelayRequest{
+		Address:     relay.Target.Address,
+		Incarnation: relay.Target.Incarnation,
+	})
+	return err == nil && reply.Reached
+}
+
+func (r *Runner) unreached(incarnation uint64) {
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	r.gossip.Unreached(r.now(), incarnation)
+	r.noteRoster()
+	if member, ok := r.gossip.Roster().Member(incarnation); ok {
+		r.deps.Log.Info("Unreachable", "Server", member.Address, "Service", member.Service)
+		r.deps.Meter.Event("Unreachable")
+	}
+}
+
+// probeSilent pings the servers that have been silent while requests wait for them.
+func (r *Runner) probeSilent(ctx context.Context) {
+	now := r.now().Mono
+	for _, lane := range r.lanes.All() {
+		for _, entry := range lane.Pool.Entries {
+			if entry.Server.Silent(now) > silenceToProbe && entry.Server.StartProbe(now) {
+				go r.ping(ctx, r.pingTo(entry.Member))
+			}
+		}
+	}
+}
+
+func (r *Runner) pingTo(member registrar.Member) gossiper.Ping {
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	return r.gossip.PingTo(member)
+}
+
+// listing is an entry of the members stream.
+type listing struct {
+	Address     string `json:"Address"`
+	Incarnation uint64 `json:"Incarnation,string"`
+}
+
+// enlist leaves the own address on the log and looks there for others while alone.
+func (r *Runner) enlist(ctx context.Context) error {
+	entry, err := json.Marshal(listing{Address: r.deps.Settings.PeerAddress, Incarnation: r.incarnation})
+	if err != nil {
+		return fmt.Errorf("encoding the own entry: %w", err)
+	}
+	go r.findPeers(ctx)
+	for ctx.Err() == nil {
+		if _, err := r.appender.Append(ctx, appender.StreamMembers, entry); err != nil {
+			r.deps.Log.Debug("EnlistFailed", "Error", err)
+			pause(ctx, enlistRetry)
+			continue
+		}
+		pause(ctx, r.deps.Settings.LogRetention/enlistShare)
+	}
+	return nil
+}
+
+func (r *Runner) findPeers(ctx context.Context) {
+	var next int64
+	for ctx.Err() == nil {
+		if r.alone() {
+			next = r.readPeers(ctx, next)
+		}
+		if !pause(ctx, lonelyPeriod) {
+			return
+		}
+	}
+}
+
+func (r *Runner) alone() bool {
+	for _, member := range r.roster.Load().Members() {
+		if member.Incarnation != r.incarnation && member.State.Live() {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Runner) readPeers(ctx context.Context, from int64) int64 {
+	batch, err := r.appender.Read(ctx, appender.StreamMembers, from, 0)
+	if err != nil {
+		r.deps.Log.Debug("MembersUnread", "Error", err)
+		return from
+	}
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	for _, entry := range batch.Entries {
+		var found listing
+		if err := json.Unmarshal(entry.Data, &found); err != nil {
+			r.deps.Log.Warn("MalformedRecord", "Stream", appender.StreamMembers, "Offset", entry.Offset, "Error", err)
+			continue
+		}
+		r.gossip.AddSeeds(found.Address)
+	}
+	if len(batch.Entries) == 0 {
+		return batch.End
+	}
+	return batch.Entries[len(batch.Entries)-1].Offset + 1
+}
--- /dev/null
+++ b/transport/runner/responder.go
@@ -0,0 +1,115 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
+	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+	"github.com/foxtailhall/foxtailhall/transport/converter"
+)
+
+var (
+	errOtherIncarnation = eris.New("process has another incarnation")
+	errMalformed        = eris.New("message is malformed")
+)
+
+// responder answers other processes.
+type responder struct {
+	runner *Runner
+}
+
+// Forward carries one attempt to the backend server.
+func (s *responder) Forward(stream messenger.DRPCGuard_ForwardStream) error {
+	if err := s.runner.guard.Forward(stream); err != nil {
+		s.runner.deps.Log.Info("ForwardBroken", "Error", err)
+		return fmt.Errorf("forwarding: %w", err)
+	}
+	return nil
+}
+
+// Resolve settles an attempt whose answer was lost.
+func (s *responder) Resolve(_ context.Context, request *messenger.ResolveRequest) (*messenger.ResolveReply, error) {
+	if request.Incarnation != s.runner.incarnation {
+		return nil, errOtherIncarnation
+	}
+	var id dispatcher.AttemptID
+	if copy(id[:], request.Attempt) != len(id) {
+		return nil, errMalformed
+	}
+	state, status := s.runner.guard.Resolve(id, request.IssuedMs)
+	return &messenger.ResolveReply{State: uint32(state), Status: uint32(status)}, nil
+}
+
+// Lock locks the guard for one round of an ejector.
+func (s *responder) Lock(_ context.Context, request *messenger.LockRequest) (*messenger.LockReply, error) {
+	if request.Incarnation != 0 && request.Incarnation != s.runner.incarnation {
+		return nil, errOtherIncarnation
+	}
+	locked, highest, standing, evidence := s.runner.guard.Lock(converter.TermFrom(request.Term), request.Service)
+	return &messenger.LockReply{
+		Locked:      locked,
+		Highest:     converter.TermTo(highest),
+		Incarnation: s.runner.incarnation,
+		Slots:       standing.Slots,
+		State:       uint32(standing.State),
+		Evidence:    converter.EvidenceTo(s.runner.incarnation, standing.Service, evidence),
+	}, nil
+}
+
+// Order ejects the backend server or lifts its ejection.
+func (s *responder) Order(_ context.Context, request *messenger.OrderRequest) (*messenger.OrderReply, error) {
+	kind := ejector.OrderKind(min(request.Kind, uint32(ejector.OrderLift)+1))
+	if kind != ejector.OrderEject && kind != ejector.OrderLift {
+		return nil, errMalformed
+	}
+	err := s.runner.guard.Order(converter.TermFrom(request.Term), request.Incarnation, kind)
+	if err != nil {
+		return &messenger.OrderReply{Reason: err.Error()}, nil
+	}
+	return &messenger.OrderReply{Done: true}, nil
+}
+
+// Report takes a guard's digest.
+func (s *responder) Report(_ context.Context, evidence *messenger.Evidence) (*messenger.Baseline, error) {
+	return s.runner.takeReport(evidence), nil
+}
+
+// Gossip exchanges liveness and roster changes.
+func (s *responder) Gossip(ctx context.Context, message *messenger.GossipMessage) (*messenger.GossipMessage, error) {
+	received := converter.GossipFrom(message)
+	if received.Sender.Incarnation == 0 || received.Sender.Address == "" {
+		return nil, errMalformed
+	}
+	r := s.runner
+	r.gossipMu.Lock()
+	reply := r.gossip.Receive(r.now(), received)
+	r.noteRoster()
+	r.gossipMu.Unlock()
+	if received.ConfigVersion > r.catalog().Version() {
+		go r.fetchIfNewer(context.WithoutCancel(ctx), received.Sender.Address, received.ConfigVersion)
+	}
+	return converter.GossipTo(reply), nil
+}
+
+// Relay pings a member on another's behalf.
+func (s *responder) Relay(ctx context.Context, request *messenger.RelayRequest) (*messenger.RelayReply, error) {
+	r := s.runner
+	target := registrar.Member{Address: request.Address, Incarnation: request.Incarnation}
+	reply, err := r.exchangeGossip(ctx, r.pingTo(target))
+	if err != nil || reply.Sender.Incarnation != request.Incarnation {
+		return &messenger.RelayReply{}, nil
+	}
+	r.acked(ctx, gossiper.Ping{Address: request.Address, Incarnation: request.Incarnation}, reply)
+	return &messenger.RelayReply{Reached: true}, nil
+}
+
+// Fetch returns the configuration in force.
+func (s *responder) Fetch(_ context.Context, request *messenger.FetchRequest) (*messenger.Configuration, error) {
+	return s.runner.configuration(request.Have)
+}
--- /dev/null
+++ b/transport/runner/runner.go
@@ -0,0 +1,283 @@
+// Package runner puts the parts of one process together and drives them.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
+	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/coordination/publisher"
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/state/loader"
+	"github.com/foxtailhall/foxtailhall/state/parser"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+	"github.com/foxtailhall/foxtailhall/transport/administrator"
+	"github.com/foxtailhall/foxtailhall/transport/appender"
+	"github.com/foxtailhall/foxtailhall/transport/connector"
+	"github.com/foxtailhall/foxtailhall/transport/guard"
+	"github.com/foxtailhall/foxtailhall/transport/meter"
+	"github.com/foxtailhall/foxtailhall/transport/router"
+)
+
+// incarnationRandomBits is how many low bits of an incarnation are random.
+const incarnationRandomBits = 20
+
+// Dependencies are what a process is built from.
+type Dependencies struct {
+	Settings loader.Settings
+	Log      *slog.Logger
+	Parser   *parser.Parser
+	Meter    *meter.Meter
+}
+
+// Runner is one process.
+type Runner struct {
+	deps        Dependencies
+	started     time.Time
+	incarnation uint64
+	appender    *appender.Appender
+	connector   *connector.Connector
+	guard       *guard.Guard
+	router      *router.Router
+	admin       *administrator.Administrator
+	lanes       *router.Lanes
+
+	// folded is the configuration stream up to the last record read.
+	folded atomic.Pointer[publisher.State]
+	// foldMu serialises the writers of folded.
+	foldMu sync.Mutex
+	// fetching is set while a version is fetched from a peer.
+	fetching atomic.Bool
+
+	// gossipMu guards gossip.
+	gossipMu sync.Mutex
+	gossip   *gossiper.Gossiper
+	roster   atomic.Pointer[registrar.Roster]
+	self     atomic.Pointer[registrar.Member]
+	// refresh asks for an update of the lanes.
+	refresh chan struct{}
+
+	// ejectMu guards ejectors.
+	ejectMu  sync.Mutex
+	ejectors map[string]*ejector.Ejector
+
+	claims *claims
+	// logReached is the monotonic time, in nanoseconds, of the last answer of the log.
+	logReached atomic.Int64
+	stopping   atomic.Bool
+	// leave is closed when the backend server asks for a planned stop.
+	leave     chan struct{}
+	leaveOnce sync.Once
+	// stopped is closed when the planned stop has drained the process.
+	stopped chan struct{}
+}
+
+// New builds a process. Nothing runs before Run.
+func New(deps Dependencies) (*Runner, error) {
+	log, err := appender.New(deps.Settings.LogAddress)
+	if err != nil {
+		return nil, fmt.Errorf("building the process: %w", err)
+	}
+	r := &Runner{
+		deps:      deps,
+		started:   time.Now(),
+		appender:  log,
+		connector: connector.New(sourceOf(deps.Settings.PeerListen)),
+		lanes:     router.NewLanes(),
+		refresh:   make(chan struct{}, 1),
+		ejectors:  map[string]*ejector.Ejector{},
+		leave:     make(chan struct{}),
+		stopped:   make(chan struct{}),
+	}
+	r.incarnation = uint64(r.started.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
+	folded := publisher.New(deps.Parser)
+	r.folded.Store(&folded)
+	r.claims = newClaims(r)
+	r.buildMembership()
+	r.buildGuard()
+	r.buildRouter()
+	r.buildAdmin()
+	r.registerGauges()
+	return r, nil
+}
+
+// sourceOf returns the IP number of an address, nil if it stands for any.
+func sourceOf(address string) net.IP {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip.IsUnspecified() {
+		return nil
+	}
+	return ip
+}
+
+func (r *Runner) buildMembership() {
+	self := registrar.Member{
+		Incarnation: r.incarnation,
+		Address:     r.deps.Settings.PeerAddress,
+		HTTPAddress: r.deps.Settings.CallerAddress,
+		Zone:        r.deps.Settings.Zone,
+		Version:     1,
+	}
+	r.gossip = gossiper.New(self, r.deps.Settings.Peers, rand.Uint64)
+	r.noteRoster()
+}
+
+func (r *Runner) buildGuard() {
+	r.guard = guard.New(guard.Dependencies{
+		Incarnation: r.incarnation,
+		Log:         r.deps.Log,
+		Now:         r.now,
+		Catalog:     r.catalog,
+		Changed:     r.standingChanged,
+		Lifetime:    ejector.RoundLifetime,
+		Limits: dispatcher.Limits{
+			Attempts:    r.deps.Settings.KeptAttempts,
+			Keys:        r.deps.Settings.KeptKeys,
+			AnswerBytes: r.deps.Settings.KeptAnswerBytes,
+			KeyLifetime: 2 * r.deps.Settings.KeyLifetime,
+		},
+	})
+}
+
+func (r *Runner) buildRouter() {
+	r.router = router.New(r.deps.Settings.CallerAddress, router.Dependencies{
+		Self:        func() registrar.Member { return *r.self.Load() },
+		Log:         r.deps.Log,
+		Now:         r.now,
+		Random:      rand.Uint64,
+		Catalog:     r.catalog,
+		Roster:      func() registrar.Roster { return *r.roster.Load() },
+		Lanes:       r.lanes,
+		Guard:       r.connector.Guard,
+		Claim:       r.claims.Claim,
+		Binding:     r.claims.Binding,
+		Fate:        r.claims.Fate,
+		Stopping:    r.stopping.Load,
+		KeyLifetime: r.deps.Settings.KeyLifetime,
+		Meter:       r.deps.Meter,
+	})
+}
+
+func (r *Runner) buildAdmin() {
+	r.admin = administrator.New(r.deps.Settings.AdminAddress, administrator.Dependencies{
+		Log:      r.deps.Log,
+		Announce: r.guard.Announce,
+		Leave:    r.Leave,
+		Stopped:  r.stopped,
+		Status:   r.status,
+		Objects:  r.objects,
+		Meter:    r.deps.Meter,
+	})
+}
+
+func (r *Runner) registerGauges() {
+	r.deps.Meter.Gauge("config_version", func() float64 { return float64(r.catalog().Version()) })
+	r.deps.Meter.Gauge("roster_members", func() float64 { return float64(r.roster.Load().Len()) })
+	r.deps.Meter.Gauge("requests_active", func() float64 { return float64(r.router.Active()) })
+	r.deps.Meter.Gauge("log_silence_seconds", func() float64 { return r.logSilence().Seconds() })
+	r.deps.Meter.Gauge("guard_in_flight", func() float64 {
+		inFlight, _ := r.guard.Load()
+		return float64(inFlight)
+	})
+}
+
+func (r *Runner) now() clocker.Instant {
+	t := time.Now()
+	return clocker.Instant{Mono: t.Sub(r.started), Wall: time.Duration(t.UnixNano())}
+}
+
+func (r *Runner) catalog() cataloger.Catalog {
+	return r.folded.Load().Catalog()
+}
+
+func (r *Runner) logSilence() time.Duration {
+	return r.now().Mono - time.Duration(r.logReached.Load())
+}
+
+// Leave asks for a planned stop.
+func (r *Runner) Leave() {
+	r.leaveOnce.Do(func() { close(r.leave) })
+}
+
+// Run serves until the context ends or the backend server asks to leave, then
+// stops without cutting off a request in flight.
+func (r *Runner) Run(ctx context.Context) error {
+	peers, err := net.Listen("tcp", r.deps.Settings.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listening for other processes: %w", err)
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	r.startServers(work, group, peers)
+	r.startLoops(work, group)
+	r.deps.Log.Info("Started", "Incarnation", r.incarnation, "Zone", r.deps.Settings.Zone,
+		"CallerAddress", r.deps.Settings.CallerAddress, "PeerAddress", r.deps.Settings.PeerAddress)
+	select {
+	case <-ctx.Done():
+	case <-r.leave:
+	case <-work.Done():
+	}
+	if work.Err() == nil {
+		r.stop(work)
+	}
+	cancel()
+	r.closeServers()
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("running: %w", err)
+	}
+	r.deps.Log.Info("Stopped", "Incarnation", r.incarnation)
+	return nil
+}
+
+func (r *Runner) closeServers() {
+	if err := r.router.Close(); err != nil {
+		r.deps.Log.Debug("CloseFailed", "Error", err)
+	}
+	if err := r.admin.Close(); err != nil {
+		r.deps.Log.Debug("CloseFailed", "Error", err)
+	}
+	if err := r.connector.Close(); err != nil {
+		r.deps.Log.Debug("CloseFailed", "Error", err)
+	}
+}
+
+// every calls step once a period until the context ends.
+func every(ctx context.Context, period time.Duration, step func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			step()
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/transport/runner/status.go
@@ -0,0 +1,96 @@
+package runner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/state/parser"
+	"github.com/foxtailhall/foxtailhall/transport/administrator"
+	"github.com/foxtailhall/foxtailhall/transport/router"
+)
+
+// status returns what the process sees.
+func (r *Runner) status() administrator.Status {
+	state := r.folded.Load()
+	catalog := state.Catalog()
+	evidence, ejectedLeft := r.guard.Evidence()
+	inFlight, waiting := r.guard.Load()
+	standing := r.guard.Standing()
+	return administrator.Status{
+		Incarnation:    fmt.Sprintf("%x", r.incarnation),
+		Zone:           r.deps.Settings.Zone,
+		PeerAddress:    r.deps.Settings.PeerAddress,
+		UpSeconds:      r.now().Mono.Seconds(),
+		Stopping:       r.stopping.Load(),
+		Version:        catalog.Version(),
+		Publication:    catalog.ID(),
+		ExactUpTo:      catalog.AsOf(),
+		Exact:          state.Exact(),
+		LogSilenceMs:   r.logSilence().Milliseconds(),
+		ActiveRequests: r.router.Active(),
+		Guard: administrator.GuardStatus{
+			Service:       standing.Service,
+			Slots:         standing.Slots,
+			State:         standing.State.String(),
+			InFlight:      inFlight,
+			Waiting:       waiting,
+			Suspicion:     evidence.Suspicion,
+			Cause:         evidence.Cause.String(),
+			MeanLog:       evidence.MeanLog,
+			BadShare:      evidence.BadShare,
+			EjectedLeftMs: ejectedLeft.Milliseconds(),
+		},
+		Services: r.serviceStatus(),
+	}
+}
+
+func (r *Runner) serviceStatus() []administrator.ServiceStatus {
+	lanes := r.lanes.All()
+	names := make([]string, 0, len(lanes))
+	for name := range lanes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	now := r.now().Mono
+	services := make([]administrator.ServiceStatus, 0, len(names))
+	for _, name := range names {
+		services = append(services, r.oneService(name, lanes[name], now))
+	}
+	return services
+}
+
+func (r *Runner) oneService(name string, lane *router.Lane, now time.Duration) administrator.ServiceStatus {
+	service, _ := r.catalog().Service(name)
+	roster := r.roster.Load()
+	elected, _ := ejector.Elected(name, roster.Pool(name))
+	status := administrator.ServiceStatus{
+		Name:         name,
+		FloorSlots:   service.FloorSlots,
+		HealthySlots: roster.HealthySlots(name),
+		Ejector:      elected.Address,
+	}
+	for _, entry := range lane.Pool.Entries {
+		status.Servers = append(status.Servers, administrator.ServerStatus{
+			Address:   entry.Member.Address,
+			Zone:      entry.Member.Zone,
+			State:     entry.Member.State.String(),
+			Slots:     entry.Member.Slots,
+			Load:      entry.Server.Load(),
+			LatencyUs: int64(entry.Server.Latency()),
+			Avoided:   entry.Server.Avoided(now),
+		})
+	}
+	return status
+}
+
+// objects returns the configuration in force.
+func (r *Runner) objects() (administrator.Objects, error) {
+	catalog := r.catalog()
+	text, err := parser.Format(catalog.Objects())
+	if err != nil {
+		return administrator.Objects{}, fmt.Errorf("listing objects: %w", err)
+	}
+	return administrator.Objects{Version: catalog.Version(), AsOf: catalog.AsOf(), Text: text}, nil
+}
