guard: Read an upload to its closing frame

Cause: a guard stopped reading frames once the body's declared length was there and left the closing frame unread. The connection's reader waits until each frame is taken, so the connection never carried another call: the next attempt on it got no answer and ended Unknown at its deadline.

Conclusion: whoever reads a stream reads it to its end on every path.

--- a/commands/publish.go
+++ b/commands/publish.go
@@ -30,8 +30,8 @@
 type publishCommand struct {
 	deps     *dependencies
 	Log      string        `long:"log" description:"IP:port of the platform's log" required:"true" value-name:"ADDRESS"`
-	Admin    string        `long:"admin" description:"IP:port of a process's AdminAddress, asked for the head when the log no longer holds it" value-name:"ADDRESS"`
-	Base     int64         `long:"base" description:"Version that the change is based on; the head by default" default:"-1" value-name:"VERSION"`
+	Admin    string        `long:"admin" description:"IP:port of a process's AdminAddress, for a lost head" value-name:"ADDRESS"`
+	Base     int64         `long:"base" description:"Version that the change is based on" default:"-1" value-name:"VERSION"`
 	Remove   []string      `long:"remove" description:"Object to remove, as Kind/Name" value-name:"KEY"`
 	Operator string        `long:"operator" description:"Name for the logs" value-name:"NAME"`
 	Patience time.Duration `long:"patience" description:"How long to wait for the log" default:"15s" value-name:"DURATION"`
@@ -50,8 +50,9 @@
 var (
 	errNothing   = eris.New("neither files nor objects to remove are given")
 	errOvertaken = eris.New("publication is void")
-	errUnsettled = eris.New("it is not known whether the publication is in force; publish the same change again with the same --base, which does no harm")
-	errNoHead    = eris.New("the log no longer holds the head; name a process with --admin")
+	errUnsettled = eris.New("it is not known whether the publication is in force; " +
+		"publish the same change again with the same --base, which does no harm")
+	errNoHead = eris.New("the log no longer holds the head; name a process with --admin")
 )
 
 // Execute publishes the change and prints what became of it.
--- a/commands/status.go
+++ b/commands/status.go
@@ -76,7 +76,10 @@
 				server.Address, server.Zone, server.State, server.Load, server.Slots, server.LatencyUs, server.Avoided)
 		}
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("writing the table: %w", err)
+	}
+	return nil
 }
 
 var errStatus = eris.New("unexpected status")
--- a/coordination/ejector/ejector.go
+++ b/coordination/ejector/ejector.go
@@ -254,7 +254,7 @@
 	if len(r.answers) < len(r.asked) {
 		return nil
 	}
-	return e.decide(now)
+	return e.decide()
 }
 
 // Ordered takes a guard's answer to an order.
@@ -270,7 +270,7 @@
 	answer.State = registrar.StateServing
 	answer.Evidence.Suspicion = 0
 	r.answers[from] = answer
-	return e.decide(now)
+	return e.decide()
 }
 
 // Tick decides a round whose last answers are overdue.
@@ -286,7 +286,7 @@
 	if r.decided || now.Since(r.started) < gatherTime {
 		return nil
 	}
-	return e.decide(now)
+	return e.decide()
 }
 
 func (e *Ejector) current(now clocker.Instant, term locker.Term) *round {
@@ -301,7 +301,7 @@
 }
 
 // decide orders what the answers of the present round allow.
-func (e *Ejector) decide(now clocker.Instant) []Action {
+func (e *Ejector) decide() []Action {
 	r := e.round
 	r.decided = true
 	baseline := measured(r.digests(e.countUnlocked))
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -92,11 +92,11 @@
 // draw keeps each of the entries seen so far with equal probability.
 func (p *pair) draw(index int, random *uint64) {
 	p.seen++
-	switch {
-	case p.seen == 1:
+	switch p.seen {
+	case 1:
 		p.first = index
 		return
-	case p.seen == 2:
+	case 2:
 		p.second = index
 		return
 	}
@@ -115,54 +115,72 @@
 	return *random
 }
 
+// draws holds what one pass over the pool has drawn from each group of servers.
+type draws struct {
+	random uint64
+	// explore lets a slow server be preferred, so that its recovery shows.
+	explore                              bool
+	zone, anywhere, busy, avoided, trial pair
+	// own is the index of the own server if it comes first, else -1.
+	own int
+}
+
 // Pick chooses a server. It does not allocate.
 func Pick(pool *tracker.Pool, query Query) (tracker.Entry, Reason) {
-	random := query.Random | 1
-	explore := query.Random%trialShare == 0
-	var zone, anywhere, busy, avoided, trial pair
+	drawn := draws{random: query.Random | 1, explore: query.Random%trialShare == 0, own: -1}
 	for i := range pool.Entries {
 		entry := &pool.Entries[i]
-		member := &entry.Member
-		if !member.State.Working() || query.tried(member.Incarnation) {
+		if !entry.Member.State.Working() || query.tried(entry.Member.Incarnation) {
 			continue
 		}
-		if member.State == registrar.StateProbation {
-			trial.draw(i, &random)
-			continue
-		}
-		if entry.Server.Avoided(query.Now) {
-			avoided.draw(i, &random)
-			continue
-		}
-		busy.draw(i, &random)
-		if !free(entry) {
-			continue
-		}
-		if slow(pool, entry) && !explore {
-			continue
-		}
-		if member.Incarnation == query.Self {
+		drawn.take(pool, &query, i)
+		if drawn.own >= 0 {
 			return *entry, ReasonOwn
 		}
-		anywhere.draw(i, &random)
-		if member.Zone == query.Zone {
-			zone.draw(i, &random)
-		}
 	}
-	if trial.seen > 0 && query.Idempotent && explore {
-		return pool.Entries[trial.first], ReasonTrial
+	return drawn.choose(pool, &query)
+}
+
+// take puts one server that may be given work into its groups.
+func (d *draws) take(pool *tracker.Pool, query *Query, i int) {
+	entry := &pool.Entries[i]
+	if entry.Member.State == registrar.StateProbation {
+		d.trial.draw(i, &d.random)
+		return
+	}
+	if entry.Server.Avoided(query.Now) {
+		d.avoided.draw(i, &d.random)
+		return
+	}
+	d.busy.draw(i, &d.random)
+	if !free(entry) || slow(pool, entry) && !d.explore {
+		return
+	}
+	if entry.Member.Incarnation == query.Self {
+		d.own = i
+		return
 	}
+	d.anywhere.draw(i, &d.random)
+	if entry.Member.Zone == query.Zone {
+		d.zone.draw(i, &d.random)
+	}
+}
+
+// choose takes the first group in order of preference that is not empty.
+func (d *draws) choose(pool *tracker.Pool, query *Query) (tracker.Entry, Reason) {
 	switch {
-	case zone.seen > 0:
-		return better(pool, query, zone), ReasonZone
-	case anywhere.seen > 0:
-		return better(pool, query, anywhere), ReasonSpill
-	case busy.seen > 0:
-		return better(pool, query, busy), ReasonBusy
-	case avoided.seen > 0:
-		return better(pool, query, avoided), ReasonAvoided
-	case trial.seen > 0:
-		return better(pool, query, trial), ReasonTrial
+	case d.trial.seen > 0 && query.Idempotent && d.explore:
+		return pool.Entries[d.trial.first], ReasonTrial
+	case d.zone.seen > 0:
+		return better(pool, query, d.zone), ReasonZone
+	case d.anywhere.seen > 0:
+		return better(pool, query, d.anywhere), ReasonSpill
+	case d.busy.seen > 0:
+		return better(pool, query, d.busy), ReasonBusy
+	case d.avoided.seen > 0:
+		return better(pool, query, d.avoided), ReasonAvoided
+	case d.trial.seen > 0:
+		return better(pool, query, d.trial), ReasonTrial
 	default:
 		return tracker.Entry{}, ReasonNone
 	}
@@ -179,7 +197,7 @@
 	return typical > 0 && entry.Server.Latency() > slowFactor*typical
 }
 
-func better(pool *tracker.Pool, query Query, drawn pair) tracker.Entry {
+func better(pool *tracker.Pool, query *Query, drawn pair) tracker.Entry {
 	first := &pool.Entries[drawn.first]
 	if drawn.seen == 1 {
 		return *first
--- a/state/cataloger/checks.go
+++ b/state/cataloger/checks.go
@@ -22,7 +22,7 @@
 // ChangeFaults checks the objects of one change and what still refers to those
 // it removed. A catalog without faults plus a change without faults has none.
 func (c Catalog) ChangeFaults(changed Objects, removed []Key) []Fault {
-	var faults []Fault
+	faults := make([]Fault, 0, len(removed))
 	for _, service := range changed.Services {
 		faults = append(faults, c.serviceFaults(service)...)
 	}
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -284,7 +284,9 @@
 func (g *Guard) run(ctx context.Context, stream messenger.DRPCGuard_ForwardStream, work *task) error {
 	request := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(request)
-	if err := g.fill(request, stream, work); err != nil {
+	body := &upload{stream: stream, left: work.head.BodyLength, ended: !work.head.BodyFollows}
+	defer body.drain()
+	if err := g.fill(request, stream, work, body); err != nil {
 		return err
 	}
 	began := g.deps.Now()
@@ -296,7 +298,9 @@
 	return g.answer(ctx, stream, work, exchange, began)
 }
 
-func (g *Guard) fill(request *protocol.Request, stream messenger.DRPCGuard_ForwardStream, work *task) error {
+func (g *Guard) fill(
+	request *protocol.Request, stream messenger.DRPCGuard_ForwardStream, work *task, body *upload,
+) error {
 	head := work.head
 	request.Header.SetMethod(head.Method)
 	request.Header.SetRequestURI(head.Uri)
@@ -317,7 +321,7 @@
 	if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: admitted}}); err != nil {
 		return err
 	}
-	request.SetBodyStream(&upload{stream: stream, left: head.BodyLength}, int(head.BodyLength))
+	request.SetBodyStream(body, int(head.BodyLength))
 	return nil
 }
 
@@ -588,3 +592,15 @@
 	}
 	return n, nil
 }
+
+// drain reads on to the frame that ends the body. Frames that nobody reads
+// would keep the connection from carrying another call.
+func (u *upload) drain() {
+	for !u.ended {
+		frame, err := u.stream.Recv()
+		if err != nil {
+			return
+		}
+		u.ended = frame.GetEnd()
+	}
+}
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -477,7 +477,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
+		return fmt.Errorf("pausing: %w", ctx.Err())
 	case <-timer.C:
 		return nil
 	}
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -99,7 +99,7 @@
 		read, err := reader.Read(buffer[n:])
 		n += read
 		if err != nil {
-			return n, err
+			return n, err //nolint:wrapcheck // io.Reader returns io.EOF as it is
 		}
 	}
 	return n, nil
@@ -140,7 +140,7 @@
 	if b.left < 0 {
 		return 0, errTooLong
 	}
-	return n, err
+	return n, err //nolint:wrapcheck // io.Reader returns io.EOF as it is
 }
 
 // headersOf returns the fields that go on to the backend server.
--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -446,6 +446,8 @@
 	cancel  context.CancelFunc
 	rest    []byte
 	ended   bool
+	// sent counts the bytes given to the HTTP server.
+	sent int64
 	// done is set once the end was accounted for.
 	done bool
 }
@@ -472,12 +474,13 @@
 	}
 	n := copy(buffer, d.rest)
 	d.rest = d.rest[n:]
+	d.sent += int64(n)
 	return n, nil
 }
 
 // Close ends the attempt, whether or not the body was read to its end.
 func (d *download) Close() error {
-	d.finish(d.ended && len(d.rest) == 0)
+	d.finish(d.ended && len(d.rest) == 0 || d.sent == d.answer.head.Length)
 	return nil
 }
 
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"log/slog"
 	"net"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -46,7 +50,7 @@
 	}
 	options := drpcserver.Options{
 		Manager: connector.Options(),
-		Log:     func(err error) { r.deps.Log.Warn("PeerConnectionFailed", "Error", err) },
+		Log:     r.logPeerError,
 	}
 	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener); err != nil {
 		return fmt.Errorf("serving other processes: %w", err)
@@ -54,6 +58,16 @@
 	return nil
 }
 
+// logPeerError logs why a connection from another process ended. That the other
+// side closed it is nothing unusual.
+func (r *Runner) logPeerError(err error) {
+	level := slog.LevelWarn
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
+		level = slog.LevelDebug
+	}
+	r.deps.Log.Log(context.Background(), level, "PeerConnectionEnded", "Error", strings.ReplaceAll(err.Error(), "\n", " "))
+}
+
 func (r *Runner) startLoops(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return r.refreshLanes(ctx) })
 	group.Go(func() error { return every(ctx, gossiper.PingPeriod, func() { r.gossipOnce(ctx) }) })
--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -27,7 +27,7 @@
 // Forward carries one attempt to the backend server.
 func (s *responder) Forward(stream messenger.DRPCGuard_ForwardStream) error {
 	if err := s.runner.guard.Forward(stream); err != nil {
-		s.runner.deps.Log.Info("ForwardBroken", "Error", err)
+		s.runner.deps.Log.Debug("ForwardBroken", "Error", err)
 		return fmt.Errorf("forwarding: %w", err)
 	}
 	return nil
