retrier: Never say NotRun of a key that ran

Cause: a router that had learned from the guard that a keyed request ran asked for the kept answer with a second attempt. When that attempt was lost as well, the guard fenced it as never seen, and the caller was told NotRun of a request that had run. The same held for a caller's repeat: a guard fenced the repeat's attempt without looking at its key.

Ruled out: tombstones forgotten before late copies (message delays up to 10 min, clocks 20 s apart), closures that miss keys, claims whose reply is lost.

A key that cannot be claimed while the log is out is told Unknown once it is older than a second, for it may be a repeat; the request itself has not run.

Conclusion: resolving looks at the key, and a history that knows of a run can only end in Ran or in the answer.

--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -153,18 +153,19 @@
 // A kept answer comes with RulingRepeat alone.
 func (d *Dispatcher) Begin(now clocker.Instant, id AttemptID, key string, issuedMs int64) (Ruling, *Answer) {
 	d.forget(now)
-	if stale(now, issuedMs) {
-		return RulingStale, nil
-	}
-	if known, ok := d.attempts[id]; ok {
-		if known.Value.(*attempt).state == StateFenced {
-			return RulingFenced, nil
-		}
+	known, seen := d.attempts[id]
+	if seen && known.Value.(*attempt).state != StateFenced {
 		return RulingDuplicate, nil
 	}
 	if ruling, answer := d.ruleOnKey(key); ruling != RulingRun {
 		return ruling, answer
 	}
+	if seen {
+		return RulingFenced, nil
+	}
+	if stale(now, issuedMs) {
+		return RulingStale, nil
+	}
 	if d.full(key) {
 		return RulingFull, nil
 	}
@@ -269,8 +270,22 @@
 
 // Resolve settles an attempt whose answer the router has lost. An attempt never
 // seen is fenced from now on; if it cannot be remembered, its state stays unseen.
-func (d *Dispatcher) Resolve(now clocker.Instant, id AttemptID, issuedMs int64) (State, int) {
+// If another request with the same key has been handed over, that one counts:
+// a key is never said to be fenced while it runs or after it ran.
+func (d *Dispatcher) Resolve(now clocker.Instant, id AttemptID, key string, issuedMs int64) (State, int) {
 	d.forget(now)
+	state, status := d.resolveAttempt(now, id, issuedMs)
+	if state != StateFenced {
+		return state, status
+	}
+	if element, ok := d.keys[key]; ok && key != "" {
+		record := element.Value.(*keyRecord)
+		return record.state, record.status
+	}
+	return state, status
+}
+
+func (d *Dispatcher) resolveAttempt(now clocker.Instant, id AttemptID, issuedMs int64) (State, int) {
 	if element, ok := d.attempts[id]; ok {
 		known := element.Value.(*attempt)
 		return known.state, known.status
--- a/coordination/retrier/plan.go
+++ b/coordination/retrier/plan.go
@@ -72,6 +72,8 @@
 	More bool
 	// MayHaveRun is set if an earlier attempt may have run.
 	MayHaveRun bool
+	// Ran is set if an earlier attempt is known to have run.
+	Ran bool
 }
 
 // AfterAttempt returns the step after an attempt. StepNotRun comes only if
@@ -104,6 +106,9 @@
 	if h.More && h.Kind != KindKeyed {
 		return StepRetry
 	}
+	if h.Ran {
+		return StepRan
+	}
 	if h.MayHaveRun {
 		return StepUnknown
 	}
@@ -121,6 +126,9 @@
 	if h.Kind == KindIdempotent && h.More {
 		return StepRetry
 	}
+	if h.Ran {
+		return StepRan
+	}
 	return StepUnknown
 }
 
@@ -137,6 +145,6 @@
 		}
 		return StepRan
 	default:
-		return StepUnknown
+		return h.afterUnknown()
 	}
 }
--- /dev/null
+++ b/coordination/retrier/retrier_test.go
@@ -0,0 +1,74 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
+	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+)
+
+func TestHistory(t *testing.T) {
+	idempotent := retrier.History{Kind: retrier.KindIdempotent, More: true}
+	once := retrier.History{Kind: retrier.KindOnce, More: true}
+	keyed := retrier.History{Kind: retrier.KindKeyed, More: true}
+	ran := retrier.History{Kind: retrier.KindKeyed, Ran: true}
+	spent := retrier.History{Kind: retrier.KindIdempotent, MayHaveRun: true}
+	for _, test := range []struct {
+		name    string
+		history retrier.History
+		end     retrier.End
+		want    retrier.Step
+	}{
+		{"Answer", once, retrier.EndAnswered, retrier.StepAnswer},
+		{"IdempotentErrorIsRetried", idempotent, retrier.EndBadAnswer, retrier.StepRetry},
+		{"OnceErrorIsGiven", once, retrier.EndBadAnswer, retrier.StepAnswer},
+		{"OnceRefusedIsRetried", once, retrier.EndRefused, retrier.StepRetry},
+		{"OnceUnknownIsNeverRetried", once, retrier.EndUnknown, retrier.StepUnknown},
+		{"OnceLostIsResolved", once, retrier.EndLost, retrier.StepResolve},
+		{"KeyedRefusedStaysAtItsGuard", keyed, retrier.EndRefused, retrier.StepNotRun},
+		{"KeyKnownToHaveRunIsNeverNotRun", ran, retrier.EndRefused, retrier.StepRan},
+		{"RefusalAfterDoubtIsUnknown", spent, retrier.EndRefused, retrier.StepUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want.String(), test.history.AfterAttempt(test.end).String())
+		})
+	}
+	t.Run("FencedOnceIsRetried", func(t *testing.T) {
+		require.Equal(t, retrier.StepRetry, once.AfterResolve(dispatcher.StateFenced))
+	})
+	t.Run("UnseenIsUnknown", func(t *testing.T) {
+		require.Equal(t, retrier.StepUnknown, once.AfterResolve(dispatcher.StateUnseen))
+	})
+	t.Run("KeyedDoneIsRepeated", func(t *testing.T) {
+		require.Equal(t, retrier.StepRepeat, keyed.AfterResolve(dispatcher.StateDone))
+	})
+}
+
+func TestBudget(t *testing.T) {
+	t.Run("IsAShareOfFirstAttempts", func(t *testing.T) {
+		budget := retrier.New(0.1)
+		taken := 0
+		for range 10000 {
+			budget.First()
+			if budget.Take() {
+				taken++
+			}
+		}
+		require.LessOrEqual(t, taken, 1000+10)
+		require.GreaterOrEqual(t, taken, 1000)
+	})
+	t.Run("ZeroShareAllowsNone", func(t *testing.T) {
+		require.False(t, retrier.New(0).Take())
+	})
+}
+
+func TestQuantile(t *testing.T) {
+	var late retrier.Quantile
+	for n := range 200000 {
+		late.Observe(time.Duration(1+n*7919%100) * time.Millisecond)
+	}
+	require.InDelta(t, 95, late.Delay().Milliseconds(), 12)
+}
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -262,10 +262,10 @@
 }
 
 // Resolve settles an attempt whose answer a router has lost.
-func (g *Guard) Resolve(id dispatcher.AttemptID, issuedMs int64) (dispatcher.State, int) {
+func (g *Guard) Resolve(id dispatcher.AttemptID, key string, issuedMs int64) (dispatcher.State, int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.dispatcher.Resolve(g.deps.Now(), id, issuedMs)
+	return g.dispatcher.Resolve(g.deps.Now(), id, key, issuedMs)
 }
 
 // Leave takes the backend server out of service: it stays until no ejection
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -295,7 +295,7 @@
 // it says or the context ends.
 func (r *Router) resolve(ctx context.Context, request *call, lost result) dispatcher.State {
 	for {
-		state, err := r.resolveOnce(ctx, lost)
+		state, err := r.resolveOnce(ctx, request.key, lost)
 		if err == nil && state != dispatcher.StateRunning {
 			r.deps.Log.Info("Resolved", "Request", request.id, "Server", lost.entry.Member.Address, "State", state.String())
 			return state
@@ -312,13 +312,14 @@
 	resolveTimeout = time.Second
 )
 
-func (r *Router) resolveOnce(ctx context.Context, lost result) (dispatcher.State, error) {
+func (r *Router) resolveOnce(ctx context.Context, key string, lost result) (dispatcher.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	reply, err := r.deps.Guard(ctx, lost.entry.Member.Address).Resolve(ctx, &messenger.ResolveRequest{
 		Attempt:     lost.attempt[:],
 		Incarnation: lost.entry.Member.Incarnation,
 		IssuedMs:    lost.issued,
+		Key:         key,
 	})
 	if err != nil {
 		return dispatcher.StateUnseen, fmt.Errorf("resolving an attempt: %w", err)
--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -180,13 +180,15 @@
 	if refused != nil {
 		return nil, refused
 	}
+	knownToRun := false
 	for {
 		entry, refused := r.bound(ctx, binding)
 		if refused != nil {
 			return nil, refused
 		}
 		outcome := r.send(ctx, request, entry, "Key")
-		history := retrier.History{Kind: retrier.KindKeyed, More: !outcome.touched && ctx.Err() == nil}
+		more := !outcome.touched && ctx.Err() == nil
+		history := retrier.History{Kind: retrier.KindKeyed, More: more, Ran: knownToRun}
 		step := history.AfterAttempt(outcome.end())
 		if step == retrier.StepResolve {
 			step = history.AfterResolve(r.resolve(ctx, request, outcome))
@@ -194,6 +196,7 @@
 		if step != retrier.StepRepeat {
 			return conclude(ctx, step, &outcome)
 		}
+		knownToRun = true
 	}
 }
 
@@ -217,11 +220,25 @@
 	})
 	if err != nil {
 		r.deps.Log.Info("ClaimFailed", "Request", request.id, "Error", err)
-		return binding, notRun(consts.StatusServiceUnavailable, "LogUnavailable")
+		return binding, r.unclaimed(ctx, request)
 	}
 	return binding, nil
 }
 
+// unclaimed is the word on a key that could not be claimed. This request was
+// not run, but the log would have told of an earlier one with the same key; a
+// key that is not fresh may have had one.
+func (r *Router) unclaimed(ctx context.Context, request *call) *refusal {
+	age := request.began.UnixMilli() - request.keyMs
+	if age > freshKey.Milliseconds() {
+		return unknown(ctx, "LogUnavailable")
+	}
+	return notRun(consts.StatusServiceUnavailable, "LogUnavailable")
+}
+
+// freshKey is the age up to which a key counts as used for the first time.
+const freshKey = time.Second
+
 // bound returns the server of a binding, or the word on a key whose guard is gone.
 func (r *Router) bound(ctx context.Context, binding claimer.Binding) (tracker.Entry, *refusal) {
 	switch binding.Fate {
--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -42,7 +42,7 @@
 	if copy(id[:], request.Attempt) != len(id) {
 		return nil, errMalformed
 	}
-	state, status := s.runner.guard.Resolve(id, request.IssuedMs)
+	state, status := s.runner.guard.Resolve(id, request.Key, request.IssuedMs)
 	return &messenger.ResolveReply{State: uint32(state), Status: uint32(status)}, nil
 }
 
