guard: Refuse the queue of a server that is ejected

Cause: with 10x slow or hanging servers the ejection came at 0.2 to 0.6 s, but the requests already queued at the guard were still handed over as slots came free, the last about when the first hanging ones met their 1 s deadline.

Ruled out: the caution (both policies showed the same 1.03 s median for Hang), the report period (100 ms while watched).

Conclusion: an ejection refuses what waits, as NotRun, so that it runs elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 clean:
 	rm -rf $(BIN) out
+
+demo: build
+	scripts/demo
--- a/standins/main.go
+++ b/standins/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/foxtailhall/foxtailhall/standins/caller"
+	"github.com/foxtailhall/foxtailhall/standins/measurer"
 	"github.com/foxtailhall/foxtailhall/standins/recorder"
 	"github.com/foxtailhall/foxtailhall/standins/relayer"
 	"github.com/foxtailhall/foxtailhall/standins/reporter"
@@ -150,6 +152,35 @@
 	return relay.Run()
 }
 
+type measureCommand struct {
+	Sets  []string `long:"set" description:"Set of figures to measure; repeat for more, all by default"`
+	Scale int      `long:"scale" default:"1" description:"Multiplies the number of worlds of each figure"`
+	Out   string   `long:"out" description:"File for the figures, beside the standard output"`
+}
+
+// Execute measures the decisions in virtual time and prints one line a figure.
+func (c *measureCommand) Execute([]string) error {
+	var out io.Writer = os.Stdout
+	if c.Out != "" {
+		file, err := os.Create(c.Out)
+		if err != nil {
+			return fmt.Errorf("creating the figures: %w", err)
+		}
+		defer func() { _ = file.Close() }()
+		out = io.MultiWriter(os.Stdout, file)
+	}
+	sets := c.Sets
+	if len(sets) == 0 {
+		sets = measurer.Sets()
+	}
+	for _, set := range sets {
+		if !measurer.New(out, c.Scale).Run(set) {
+			return fmt.Errorf("no set is named %q; there are %v", set, measurer.Sets())
+		}
+	}
+	return nil
+}
+
 type reportCommand struct {
 	Results  string `long:"results" required:"true" description:"File that callers wrote"`
 	Journals string `long:"journals" required:"true" description:"Pattern of the servers' journals"`
@@ -191,6 +222,7 @@
 		{"server", "Run a backend server", &serverCommand{}},
 		{"callers", "Run a load", &callersCommand{}},
 		{"relay", "Run a relay with one-way cuts", &relayCommand{}},
+		{"measure", "Measure the decisions in virtual time", &measureCommand{}},
 		{"report", "Hold callers' results against servers' journals", &reportCommand{}},
 	}
 	for _, command := range commands {
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -226,6 +226,9 @@
 	g.mu.Lock()
 	ejection, err := g.controller.Order(g.deps.Now(), term, incarnation, kind)
 	g.logChanges("Ordered")
+	if ejection != nil {
+		g.refuseWaiting()
+	}
 	g.mu.Unlock()
 	if err != nil {
 		g.deps.Log.Info("OrderRefused", "Order", kind.String(), "Term", term.Counter, "Reason", err)
@@ -303,10 +306,15 @@
 	defer g.mu.Unlock()
 	err := g.controller.Leave(g.deps.Now())
 	g.logChanges("Stop")
+	g.refuseWaiting()
+	return err
+}
+
+// refuseWaiting refuses the queued requests, which can still run elsewhere. The lock is held.
+func (g *Guard) refuseWaiting() {
 	for _, id := range g.limiter.Clear() {
 		g.wake(id, false)
 	}
-	return err
 }
 
 func (g *Guard) drained() bool {
