detector: Let no two slow requests condemn a server

Cause: one request could add 8 nats to the latency test, so that two requests from the tail of a healthy server (0.5% take 8 times as long) passed Munster's caution of 10 and set the server aside.

Conclusion: it takes three slow requests at least, whatever the caution.

--- a/coordination/detector/detector.go
+++ b/coordination/detector/detector.go
@@ -34,8 +34,10 @@
 const (
 	// shiftLog is the slowdown that the latency test looks for, as ln of a ratio.
 	shiftLog = math.Ln2
-	// maxRequestNats bounds what one request adds to the latency test.
-	maxRequestNats = 8.0
+	// minSlowRequests is how many requests it takes at least to condemn a server as slow.
+	minSlowRequests = 3
+	// maxFastNats bounds what one quick request takes from the latency test.
+	maxFastNats = 2.0
 	// minSpread and maxSpread bound the pool's standard deviation of ln of service time.
 	minSpread = 0.3
 	maxSpread = 1.0
@@ -235,7 +237,7 @@
 	spread := min(max(d.baseline.SpreadLog, minSpread), maxSpread)
 	excess := value - d.baseline.MedianLog
 	nats := shiftLog / (spread * spread) * (excess - shiftLog/2)
-	return min(max(nats, -maxRequestNats/4), maxRequestNats)
+	return min(max(nats, -maxFastNats), d.caution/minSlowRequests)
 }
 
 func (d *Detector) observeAnswer(bad bool, origin Origin) {
