ejector: Judge bad answers by a factor of the pool's share

Cause: with one route broken everywhere (1 in 8 requests fails at every server) the smoothed share of one server often lay 0.04 above the median by chance, and servers were set aside for a fault that was not theirs.

Conclusion: shares of errors are compared by ratio.

--- a/coordination/ejector/ejector.go
+++ b/coordination/ejector/ejector.go
@@ -31,8 +31,10 @@
 	evidenceLifetime = 6 * time.Second
 	// minExcessLog is the least excess over the median, as ln of a ratio, of a slow server.
 	minExcessLog = 0.45
-	// minExcessShare is the least excess of the share of bad answers of a failing server.
+	// minExcessShare and minShareFactor tell how far a failing server's share of bad
+	// answers lies above the pool's: by the one at least, and by that factor of it.
 	minExcessShare = 0.04
+	minShareFactor = 2.5
 	// swapFactor and swapMargin tell how much sicker a server must be to take another's place.
 	swapFactor = 1.5
 	swapMargin = 0.5
@@ -443,7 +445,7 @@
 
 func outlier(evidence detector.Evidence, baseline detector.Baseline) bool {
 	if evidence.Cause == detector.CauseErrors {
-		return evidence.BadShare >= baseline.BadShare+minExcessShare
+		return evidence.BadShare >= minShareFactor*baseline.BadShare+minExcessShare
 	}
 	return evidence.MeanLog >= baseline.MedianLog+minExcessLog
 }
