picker: Break ties at random

Cause: of two servers with equal cost the one with the lower incarnation was always taken, so a calm pool sent all spilled work to the same few servers.

Conclusion: equal servers share the work.

--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -20,6 +20,9 @@
 	defaultLatency = 1000.0
 )
 
+// tieBit is the bit of a query's random number that decides between equal servers.
+const tieBit = 1 << 40
+
 // Reason tells why a server was chosen.
 type Reason uint8
 
@@ -203,7 +206,8 @@
 		return *first
 	}
 	second := &pool.Entries[drawn.second]
-	if cost(second, query.Now) < cost(first, query.Now) {
+	difference := cost(second, query.Now) - cost(first, query.Now)
+	if difference < 0 || difference == 0 && query.Random&tieBit != 0 {
 		return *second
 	}
 	return *first
--- /dev/null
+++ b/state/cataloger/cataloger_bench_test.go
@@ -0,0 +1,61 @@
+package cataloger_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
+)
+
+func bigCatalog(routes int) cataloger.Catalog {
+	objects := cataloger.Objects{
+		Policies: []cataloger.Policy{{Kind: cataloger.KindPolicy, Name: "p"}},
+		Services: []cataloger.Service{{Kind: cataloger.KindService, Name: "s", Policy: "p"}},
+	}
+	for i := range routes {
+		objects.Routes = append(objects.Routes, route(fmt.Sprintf("route-%d", i), fmt.Sprintf("h%d.example", i%1000), fmt.Sprintf("/a/%d", i)))
+	}
+	return cataloger.New().WithObjects(objects)
+}
+
+var sizes = []int{3400, 34000, 340000}
+
+// BenchmarkRouteEntry measures the memory of one route and the time of one match.
+func BenchmarkRouteEntry(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			catalog := bigCatalog(size)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				catalog.Match("h7.example", "/a/7/b/c")
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "B/route")
+			runtime.KeepAlive(catalog)
+		})
+	}
+}
+
+// BenchmarkConfigurationDelta measures one change of one route, checked.
+func BenchmarkConfigurationDelta(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			catalog := bigCatalog(size)
+			b.ResetTimer()
+			for i := range b.N {
+				change := cataloger.Objects{Routes: []cataloger.Route{route("route-7", "h7.example", fmt.Sprintf("/b/%d", i))}}
+				catalog = catalog.WithObjects(change)
+				if len(catalog.ChangeFaults(change, nil)) > 0 {
+					b.Fatal("faulty")
+				}
+			}
+		})
+	}
+}
