router: Rebuild only the lanes whose members changed

Cause: each change of the roster rebuilt what the router keeps of every service.

A roster makes a new slice for a service only when its members change, and a lane keeps the one it was built from. A test asks that other services' pools stay the same; it failed before.

Also: only the 20 longest running processes renew their entries on the log's members stream: 200,000 would take 167 appends a second at one hour's retention.

Conclusion: the roster's size no longer sets the cost of a change by itself.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 measure: build
 	mkdir -p out
 	$(BIN)/standins measure --out out/figures.txt
+	$(BIN)/standins page --notes docs/design/measures-notes.md out/figures.txt >docs/MEASURES.md
 
 fuzz:
 	go test -fuzz FuzzParse -fuzztime 60s ./state/parser
@@ -50,8 +51,8 @@
 
 # measure-slopes measures what docs/CAPACITY.md works out.
 measure-slopes:
-	go test -run NONE -bench 'RosterEntry|RouteEntry|ConfigurationDelta|Pick|GossipPeriod|LockRound|ClaimEntry|MemberMessage|RouterServer' \
-		-benchtime 200ms ./state/... ./coordination/... ./transport/converter
+	go test -run NONE -bench 'RosterEntry|RouteEntry|ConfigurationDelta|Pick|GossipPeriod|LockRound|ClaimEntry|MemberMessage|EvidenceMessage|RouterServer|LanesUpdate|GuardTick' \
+		-benchtime 200ms ./state/... ./coordination/... ./transport/...
 
 # mutate breaks one rule at a time in a copy of the tree and shows that a test turns red.
 mutate:
--- /dev/null
+++ b/coordination/controller/controller_bench_test.go
@@ -0,0 +1,30 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/controller"
+	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+)
+
+// BenchmarkGuardTick measures one look of a guard at its server, 4 requests in flight.
+func BenchmarkGuardTick(b *testing.B) {
+	now := clocker.Instant{}
+	guard := controller.New(1, now, ejector.RoundLifetime)
+	if err := guard.Announce(now, controller.Profile{Service: "s", Slots: 4, Caution: 10}); err != nil {
+		b.Fatal(err)
+	}
+	guard.Detector().SetBaseline(detector.Baseline{MedianLog: 30, SpreadLog: 0.3, Members: 3})
+	for id := range uint64(4) {
+		guard.Detector().Start(now, id)
+	}
+	for range b.N {
+		now = now.Add(10 * time.Millisecond)
+		if err := guard.Tick(now, 8); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/coordination/gossiper/gossiper_test.go
+++ b/coordination/gossiper/gossiper_test.go
@@ -22,13 +22,16 @@
 	down    map[int]bool
 	cut     map[[2]int]bool
 	now     time.Duration
+	places  map[string]int
 	bytes   int
-	pings   int
 }
 
 func newVillage(count int, seed uint64) *village {
-	v := &village{random: rand.New(rand.NewPCG(seed, 1)), down: map[int]bool{}, cut: map[[2]int]bool{}}
+	v := &village{
+		random: rand.New(rand.NewPCG(seed, 1)), down: map[int]bool{}, cut: map[[2]int]bool{}, places: map[string]int{},
+	}
 	for i := range count {
+		v.places[v.entry(i).Address] = i
 		v.members = append(v.members, gossiper.New(v.entry(i), []string{v.entry(0).Address}, v.random.Uint64))
 	}
 	return v
@@ -47,12 +50,7 @@
 }
 
 func (v *village) index(address string) int {
-	for i := range v.members {
-		if v.entry(i).Address == address {
-			return i
-		}
-	}
-	return -1
+	return v.places[address]
 }
 
 // exchange carries a ping and its reply, if both directions work.
@@ -60,7 +58,6 @@
 	if v.down[to] || v.cut[[2]int{from, to}] {
 		return gossiper.Message{}, false
 	}
-	v.pings++
 	v.bytes += proto.Size(converter.GossipTo(message))
 	reply := v.members[to].Receive(v.instant(), message)
 	v.bytes += proto.Size(converter.GossipTo(reply))
@@ -194,9 +191,9 @@
 	for _, size := range []int{30, 100, 300} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			v := newVillage(size, 9)
-			v.until(400, v.full)
-			v.rounds(60)
-			v.bytes, v.pings = 0, 0
+			v.until(1000, v.full)
+			v.rounds(300)
+			v.bytes = 0
 			b.ResetTimer()
 			for range b.N {
 				v.rounds(1)
@@ -205,18 +202,12 @@
 			perMember := float64(b.N * size)
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/perMember, "ns/member-period")
 			b.ReportMetric(float64(v.bytes)/perMember, "B/member-period")
+			calm := float64(v.bytes) / perMember
+			const rounds = 60
 			v.bytes = 0
 			v.members[1].SetSelf(v.members[1].Self().WithState(registrar.StateEjected))
-			v.rounds(40)
-			b.ReportMetric(float64(v.bytes)/float64(size)-40*float64(v.calm()), "B/change-member")
+			v.rounds(rounds)
+			b.ReportMetric(float64(v.bytes)/float64(size)-rounds*calm, "B/change-member")
 		})
 	}
 }
-
-// calm returns the bytes of one member's period without changes.
-func (v *village) calm() float64 {
-	v.rounds(60)
-	v.bytes = 0
-	v.rounds(20)
-	return float64(v.bytes) / float64(20*len(v.members))
-}
--- a/standins/main.go
+++ b/standins/main.go
@@ -181,6 +181,35 @@
 	return nil
 }
 
+type pageCommand struct {
+	Notes string `long:"notes" required:"true" description:"Markdown file that the tables follow"`
+	Args  struct {
+		Figures []string `positional-arg-name:"FIGURES" required:"1"`
+	} `positional-args:"true"`
+}
+
+// Execute prints the notes and the figures of all files as a page.
+func (c *pageCommand) Execute([]string) error {
+	notes, err := os.ReadFile(c.Notes)
+	if err != nil {
+		return fmt.Errorf("reading the notes: %w", err)
+	}
+	page := measurer.NewPage()
+	for _, name := range c.Args.Figures {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("opening figures: %w", err)
+		}
+		err = page.Read(file)
+		_ = file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	fmt.Print(string(notes))
+	return page.Write(os.Stdout)
+}
+
 type reportCommand struct {
 	Results  string `long:"results" required:"true" description:"File that callers wrote"`
 	Journals string `long:"journals" required:"true" description:"Pattern of the servers' journals"`
@@ -223,6 +252,7 @@
 		{"callers", "Run a load", &callersCommand{}},
 		{"relay", "Run a relay with one-way cuts", &relayCommand{}},
 		{"measure", "Measure the decisions in virtual time", &measureCommand{}},
+		{"page", "Write figures as a page of tables", &pageCommand{}},
 		{"report", "Hold callers' results against servers' journals", &reportCommand{}},
 	}
 	for _, command := range commands {
--- a/standins/measurer/measurer.go
+++ b/standins/measurer/measurer.go
@@ -20,12 +20,12 @@
 // Policies compared in every run: the two users' policies first.
 var (
 	Munster    = Policy{Name: "Munster", Caution: 10}
-	VanDerPlas = Policy{Name: "VanDerPlas", Caution: 24}
+	VanDerPlas = Policy{Name: "VanDerPlas", Caution: 48}
 	NoEjection = Policy{Name: "PickerAlone"}
 	RoundRobin = Policy{Name: "RoundRobin", RoundRobin: true}
 	FiveErrors = Policy{Name: "FiveErrors", RoundRobin: true, ConsecutiveErrors: 5}
 	Window     = Policy{Name: "Window10s", RoundRobin: true, Window: true}
-	JointRule  = Policy{Name: "JointRule", Caution: 24, Joint: true}
+	JointRule  = Policy{Name: "JointRule", Caution: 48, Joint: true}
 )
 
 // Faults that a policy must detect, or must not take for a sick server.
@@ -197,14 +197,14 @@
 		w := newWorld(pool, policy, Fault{Name: "None"}, uint64(seed))
 		w.run(settleTime)
 		w.onset = w.now
-		first, more := w.first, w.extra
+		first, more, good := w.first, w.extra, w.good
 		w.run(w.now + horizon)
-		share := float64(w.good) / float64(w.first-first)
-		goodput[seed] = share * min(pool.Load, 1e9) / min(pool.Load, 1)
+		share := float64(w.good-good) / float64(w.first-first)
+		goodput[seed] = share * pool.Load
 		extra[seed] = float64(w.extra-more) / float64(w.first-first)
 	})
 	base := Figure{Policy: policy.Name, Pool: pool.name(), N: seeds, Baseline: policy.baseline()}
-	m.printAs(base, "GoodputShareOfPossible", mean(goodput), "share")
+	m.printAs(base, "GoodputShareOfCapacity", mean(goodput), "share")
 	m.printAs(base, "ExtraLoadByRetries", mean(extra), "share")
 }
 
--- /dev/null
+++ b/standins/measurer/page.go
@@ -0,0 +1,117 @@
+package measurer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Page collects figures and writes them as a page of tables.
+type Page struct {
+	// figures keep the order in which they were read; a later line of the same
+	// figure, policy and pool replaces the earlier.
+	figures []Figure
+	places  map[string]int
+}
+
+// NewPage returns a page without figures.
+func NewPage() *Page {
+	return &Page{places: map[string]int{}}
+}
+
+// Read takes the figures of a measure's output.
+func (p *Page) Read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		figure, err := ParseFigure(lines.Text())
+		if err != nil {
+			return err
+		}
+		p.add(figure)
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("reading figures: %w", err)
+	}
+	return nil
+}
+
+func (p *Page) add(figure Figure) {
+	key := figure.Name + " " + figure.Policy + " " + figure.Pool
+	if at, ok := p.places[key]; ok {
+		p.figures[at] = figure
+		return
+	}
+	p.places[key] = len(p.figures)
+	p.figures = append(p.figures, figure)
+}
+
+// ParseFigure reads one line that Figure.String wrote.
+func ParseFigure(line string) (Figure, error) {
+	var f Figure
+	_, err := fmt.Sscanf(line, "Figure=%s Policy=%s Baseline=%t Pool=%s Value=%g Unit=%s N=%d Seed=%d",
+		&f.Name, &f.Policy, &f.Baseline, &f.Pool, &f.Value, &f.Unit, &f.N, &f.Seed)
+	if err != nil {
+		return Figure{}, fmt.Errorf("decoding %q: %w", line, err)
+	}
+	return f, nil
+}
+
+// Write prints a table for each pool: a row a figure, a column a policy.
+func (p *Page) Write(w io.Writer) error {
+	for _, pool := range p.distinct(func(f Figure) string { return f.Pool }) {
+		if err := p.writePool(w, pool); err != nil {
+			return fmt.Errorf("writing the table of %s: %w", pool, err)
+		}
+	}
+	return nil
+}
+
+func (p *Page) distinct(of func(Figure) string) []string {
+	var values []string
+	seen := map[string]bool{}
+	for _, figure := range p.figures {
+		if value := of(figure); !seen[value] {
+			seen[value] = true
+			values = append(values, value)
+		}
+	}
+	return values
+}
+
+func (p *Page) writePool(w io.Writer, pool string) error {
+	part := NewPage()
+	for _, figure := range p.figures {
+		if figure.Pool == pool {
+			part.add(figure)
+		}
+	}
+	policies := part.distinct(func(f Figure) string { return f.Policy })
+	_, err := fmt.Fprintf(w, "\n### Pool %s\n\n| Figure | Unit | N | %s |\n|---|---|---|%s\n",
+		pool, strings.Join(policies, " | "), strings.Repeat("---|", len(policies)))
+	if err != nil {
+		return fmt.Errorf("writing the head: %w", err)
+	}
+	for _, name := range part.distinct(func(f Figure) string { return f.Name }) {
+		if _, err := fmt.Fprintln(w, part.row(name, policies)); err != nil {
+			return fmt.Errorf("writing a row: %w", err)
+		}
+	}
+	return nil
+}
+
+func (p *Page) row(name string, policies []string) string {
+	cells := make([]string, 0, len(policies))
+	unit, count := "", 0
+	for _, policy := range policies {
+		cell := "-"
+		for _, figure := range p.figures {
+			if figure.Name == name && figure.Policy == policy {
+				cell = fmt.Sprintf("%.4g", figure.Value)
+				unit, count = figure.Unit, max(count, figure.N)
+			}
+		}
+		cells = append(cells, cell)
+	}
+	return fmt.Sprintf("| %s | %s | %d | %s |", name, unit, count, strings.Join(cells, " | "))
+}
--- a/standins/measurer/pool.go
+++ b/standins/measurer/pool.go
@@ -458,7 +458,9 @@
 		bad = true
 	}
 	if w.sick(r.server) {
-		factor *= max(w.fault.Factor, 0.1)
+		if w.fault.Factor > 0 {
+			factor *= w.fault.Factor
+		}
 		bad = bad || w.random.Float64() < w.fault.Share
 		if w.fault.Hang {
 			factor = 1e6
--- a/transport/converter/converter_test.go
+++ b/transport/converter/converter_test.go
@@ -7,6 +7,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/locker"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/converter"
@@ -44,3 +46,17 @@
 	}
 	b.ReportMetric(float64(size), "B/member")
 }
+
+// BenchmarkEvidenceMessage measures a guard's report and a lock's request and answer on the wire.
+func BenchmarkEvidenceMessage(b *testing.B) {
+	evidence := detector.Evidence{Suspicion: 3.3, Cause: detector.CauseLatency, MeanLog: 9.9, SpreadLog: 0.3, BadShare: 0.01, Samples: 123456}
+	report := converter.EvidenceTo(1796374603123<<20, "service-1234", evidence)
+	term := converter.TermTo(locker.Term{Counter: 5000, Owner: 1796374603123 << 20})
+	request := &messenger.LockRequest{Term: term, Service: "service-1234", Incarnation: 1796374603123 << 20}
+	reply := &messenger.LockReply{Locked: true, Highest: term, Incarnation: request.Incarnation, Slots: 4, State: 1, Evidence: report}
+	for range b.N {
+		_ = proto.Size(report)
+	}
+	b.ReportMetric(float64(proto.Size(report)), "B/report")
+	b.ReportMetric(float64(proto.Size(request)+proto.Size(reply)), "B/lock")
+}
--- a/transport/router/lanes.go
+++ b/transport/router/lanes.go
@@ -16,6 +16,8 @@
 	// Budget and Late outlive all versions of the pool.
 	Budget *retrier.Budget
 	Late   *retrier.Quantile
+	// members is the roster's slice that Pool was built from.
+	members []registrar.Member
 }
 
 // Lanes holds the lanes of all services, read by requests without locks.
@@ -55,7 +57,11 @@
 	old *Lane, now time.Duration, members []registrar.Member, service string, catalog cataloger.Catalog,
 ) *Lane {
 	policy, _ := catalog.PolicyOf(service)
-	lane := &Lane{Pool: &tracker.Pool{Entries: make([]tracker.Entry, 0, len(members))}}
+	if old != nil && same(old.members, members) {
+		old.Budget.SetShare(policy.RetryShare)
+		return old
+	}
+	lane := &Lane{Pool: &tracker.Pool{Entries: make([]tracker.Entry, 0, len(members))}, members: members}
 	if old == nil {
 		lane.Budget = retrier.New(policy.RetryShare)
 		lane.Late = &retrier.Quantile{}
@@ -73,6 +79,12 @@
 	return lane
 }
 
+// same tells whether two slices are the same part of one roster. A roster that
+// changes a service's members makes a new slice for it.
+func same(a, b []registrar.Member) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // kept returns the view of a server that is known already, or a new one. A
 // server that was in service before the router knew it does not count as cold.
 func kept(old *Lane, now time.Duration, member registrar.Member) *tracker.Server {
--- /dev/null
+++ b/transport/router/lanes_test.go
@@ -0,0 +1,73 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+	"github.com/foxtailhall/foxtailhall/transport/router"
+)
+
+const perService = 37
+
+func member(i int) registrar.Member {
+	return registrar.Member{
+		Incarnation: uint64(i + 1), Address: fmt.Sprintf("10.%d.%d.%d:8001", i>>16, i>>8&255, i&255),
+		Service: fmt.Sprintf("service-%d", i/perService), Slots: 4, State: registrar.StateServing, Version: 1,
+	}
+}
+
+func roster(size int) registrar.Roster {
+	r := registrar.New()
+	for i := range size {
+		r = r.WithMember(member(i))
+	}
+	return r
+}
+
+func TestLanesKeepWhatTheyKnow(t *testing.T) {
+	lanes := router.NewLanes()
+	r := roster(2 * perService)
+	lanes.Update(time.Second, r, cataloger.New())
+	first, second := lanes.Lane("service-0"), lanes.Lane("service-1")
+	known, _ := first.Pool.Find(1)
+	known.Server.Observe(time.Second)
+	lanes.Update(2*time.Second, r.WithMember(member(0).WithState(registrar.StateEjected).WithVersion(2)), cataloger.New())
+	t.Run("ChangedServiceGetsTheNewState", func(t *testing.T) {
+		entry, ok := lanes.Lane("service-0").Pool.Find(1)
+		require.True(t, ok)
+		require.Equal(t, registrar.StateEjected, entry.Member.State)
+	})
+	t.Run("ItsServersKeepTheirFigures", func(t *testing.T) {
+		entry, _ := lanes.Lane("service-0").Pool.Find(1)
+		require.Same(t, known.Server, entry.Server)
+		require.Same(t, first.Budget, lanes.Lane("service-0").Budget)
+	})
+	t.Run("OtherServicesStay", func(t *testing.T) {
+		require.Same(t, second.Pool, lanes.Lane("service-1").Pool)
+	})
+	t.Run("ServiceWithoutServersIsGone", func(t *testing.T) {
+		lanes.Update(3*time.Second, roster(perService), cataloger.New())
+		require.Nil(t, lanes.Lane("service-1"))
+	})
+}
+
+// BenchmarkLanesUpdate measures one roster change at a router.
+func BenchmarkLanesUpdate(b *testing.B) {
+	for _, size := range []int{2000, 20000, 200000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			lanes := router.NewLanes()
+			r := roster(size)
+			lanes.Update(0, r, cataloger.New())
+			b.ResetTimer()
+			for i := range b.N {
+				r = r.WithMember(member(i % size).WithVersion(uint64(i + 2)))
+				lanes.Update(0, r, cataloger.New())
+			}
+		})
+	}
+}
--- a/transport/runner/configuration.go
+++ b/transport/runner/configuration.go
@@ -8,7 +8,6 @@
 	"github.com/foxtailhall/foxtailhall/coordination/publisher"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/parser"
-	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/appender"
 )
 
@@ -168,11 +167,5 @@
 }
 
 func (r *Runner) copyAfter() time.Duration {
-	rank := 0
-	for _, member := range r.roster.Load().Members() {
-		if member.State.Live() && member.State != registrar.StateLeaving && member.Incarnation < r.incarnation {
-			rank++
-		}
-	}
-	return r.deps.Settings.LogRetention/copyShare + time.Duration(rank)*rankDelay
+	return r.deps.Settings.LogRetention/copyShare + time.Duration(r.rank())*rankDelay
 }
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -23,6 +23,8 @@
 	silenceToProbe = 300 * time.Millisecond
 	// enlistShare is how many times an entry on the log is renewed within the log's retention.
 	enlistShare = 3
+	// maxListed is how many processes, the longest running, renew their entries.
+	maxListed = 20
 	// enlistRetry is the pause after a failed entry.
 	enlistRetry = 2 * time.Second
 	// lonelyPeriod is how often the log is read for addresses.
@@ -213,11 +215,24 @@
 			pause(ctx, enlistRetry)
 			continue
 		}
-		pause(ctx, r.deps.Settings.LogRetention/enlistShare)
+		for pause(ctx, r.deps.Settings.LogRetention/enlistShare) && r.rank() >= maxListed {
+			continue
+		}
 	}
 	return nil
 }
 
+// rank counts the live members with lower incarnations, those that started earlier.
+func (r *Runner) rank() int {
+	rank := 0
+	for _, member := range r.roster.Load().Members() {
+		if member.State.Live() && member.State != registrar.StateLeaving && member.Incarnation < r.incarnation {
+			rank++
+		}
+	}
+	return rank
+}
+
 func (r *Runner) findPeers(ctx context.Context) {
 	var next int64
 	for ctx.Err() == nil {
