--- a/transport/converter/converter_test.go
+++ b/transport/converter/converter_test.go
@@ -49,11 +49,15 @@
 
 // BenchmarkEvidenceMessage measures a guard's report and a lock's request and answer on the wire.
 func BenchmarkEvidenceMessage(b *testing.B) {
-	evidence := detector.Evidence{Suspicion: 3.3, Cause: detector.CauseLatency, MeanLog: 9.9, SpreadLog: 0.3, BadShare: 0.01, Samples: 123456}
+	evidence := detector.Evidence{
+		Suspicion: 3.3, Cause: detector.CauseLatency, MeanLog: 9.9, SpreadLog: 0.3, BadShare: 0.01, Samples: 123456,
+	}
 	report := converter.EvidenceTo(1796374603123<<20, "service-1234", evidence)
 	term := converter.TermTo(locker.Term{Counter: 5000, Owner: 1796374603123 << 20})
 	request := &messenger.LockRequest{Term: term, Service: "service-1234", Incarnation: 1796374603123 << 20}
-	reply := &messenger.LockReply{Locked: true, Highest: term, Incarnation: request.Incarnation, Slots: 4, State: 1, Evidence: report}
+	reply := &messenger.LockReply{
+		Locked: true, Highest: term, Incarnation: request.Incarnation, Slots: 4, State: 1, Evidence: report,
+	}
 	for range b.N {
 		_ = proto.Size(report)
 	}
