--- a/proofs/input_test.go
+++ b/proofs/input_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/textproto"
 	"strings"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/foxtailhall/foxtailhall/standins/worker"
 )
 
 // exchange sends raw bytes to a process's caller address and returns the head of its answer.
@@ -90,3 +93,26 @@
 	})
 	f.requireNoBrokenInvariant()
 }
+
+func TestCutLongAnswerBreaksTheTransfer(t *testing.T) {
+	f := start(t, 3, 12, false)
+	for i := range 3 {
+		f.serverFault(i, worker.Fault{Mode: worker.ModeCutOff})
+	}
+	const length = 1 << 20
+	conn, err := net.Dial("tcp", f.address(0, 8000))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(waitLimit)))
+	_, err = fmt.Fprintf(conn, "GET /sheets/x HTTP/1.1\r\nHost: x\r\nStandin-Key: k\r\nStandin-Answer-Bytes: %d\r\n\r\n", length)
+	require.NoError(t, err)
+	reader := textproto.NewReader(bufio.NewReader(conn))
+	_, err = reader.ReadLine()
+	require.NoError(t, err)
+	header, err := reader.ReadMIMEHeader()
+	require.NoError(t, err)
+	require.Equal(t, fmt.Sprint(length), header.Get("Content-Length"), "the whole length was announced")
+	body, _ := io.ReadAll(reader.R)
+	require.Less(t, len(body), length, "a cut answer must not look whole")
+	f.await("the log line", func() bool { return strings.Contains(f.logs("process0"), "Outcome=Broken") })
+}
--- a/transport/deliverer/deliverer.go
+++ b/transport/deliverer/deliverer.go
@@ -16,7 +16,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
+
+	"github.com/foxtailhall/foxtailhall/transport/peeker"
 )
 
 const (
@@ -188,7 +189,7 @@
 		if idle == nil {
 			return open(ctx, address)
 		}
-		if idle.address == address && !closedByPeer(idle.raw) {
+		if idle.address == address && peeker.Peek(idle.raw) == peeker.StateQuiet {
 			return idle, nil
 		}
 		_ = idle.raw.Close()
@@ -233,26 +234,5 @@
 	}, nil
 }
 
-// closedByPeer tells whether the other side has closed an idle connection or
-// sent bytes that nobody asked for.
-func closedByPeer(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := true
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = peekErr != unix.EAGAIN
-		return true
-	})
-	return err != nil || closed
-}
-
 // Whole tells whether the body was read to its true end.
 func (e *Exchange) Whole() bool { return e.whole }
