--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,8 @@
 demo: build
 	scripts/demo
 
+.PHONY: mutate
+
 # prove runs the long randomised runs and all proofs with real processes.
 prove: build
 	PROVE=long go test -count=1 -timeout 30m -v ./coordination/controller ./coordination/claimer ./proofs | \
--- a/standins/measurer/measurer.go
+++ b/standins/measurer/measurer.go
@@ -141,10 +141,11 @@
 		w := newWorld(pool, policy, fault, uint64(seed))
 		w.run(settleTime)
 		w.onset = w.now
-		before := w.falseEjections
+		before, answered, good := w.falseEjections, w.answered, w.good
 		w.run(w.now + horizon)
 		times[seed] = w.detected()
-		lates[seed] = float64(w.answered-w.good) / float64(max(w.answered, 1))
+		answered, good = w.answered-answered, w.good-good
+		lates[seed] = float64(answered-good) / float64(max(answered, 1))
 		falses[seed] = w.falseEjections - before
 	})
 	slices.Sort(times)
--- a/standins/measurer/page.go
+++ b/standins/measurer/page.go
@@ -102,16 +102,23 @@
 
 func (p *Page) row(name string, policies []string) string {
 	cells := make([]string, 0, len(policies))
-	unit, count := "", 0
+	unit, least, most := "", 0, 0
 	for _, policy := range policies {
 		cell := "-"
 		for _, figure := range p.figures {
 			if figure.Name == name && figure.Policy == policy {
 				cell = fmt.Sprintf("%.4g", figure.Value)
-				unit, count = figure.Unit, max(count, figure.N)
+				unit, most = figure.Unit, max(most, figure.N)
+				if least == 0 || figure.N < least {
+					least = figure.N
+				}
 			}
 		}
 		cells = append(cells, cell)
 	}
-	return fmt.Sprintf("| %s | %s | %d | %s |", name, unit, count, strings.Join(cells, " | "))
+	count := fmt.Sprint(most)
+	if least != most {
+		count = fmt.Sprintf("%d to %d", least, most)
+	}
+	return fmt.Sprintf("| %s | %s | %s | %s |", name, unit, count, strings.Join(cells, " | "))
 }
