controller: Mend the schedule that shows the need of the cold phase

Cause: TestFloorNeedsColdPhase went green without the cold phase, so failed, since bad answers are judged by a factor of the pool's share: with two sick of three the median was sick itself, and no order followed.

The schedule now has five servers, a floor of 16 of 20 slots, and the second target falls sick only after the lower round. It is as strict: the floor must hold with the cold phase and break without it.

--- a/coordination/controller/floor_test.go
+++ b/coordination/controller/floor_test.go
@@ -475,18 +475,23 @@
 	require.NotEmpty(t, sum.breaches)
 }
 
+const (
+	overlapNodes = 5
+	overlapFloor = 16
+)
+
 // overlap plays the schedule that the cold phase is there for: a guard locks a
 // round, its guard restarts while the server goes on serving, and a lower round
-// that overlaps counts it. It returns the slots in service of 12, with a floor of 8.
+// that overlaps counts it. It returns the slots in service of 20, with a floor of 16.
 func overlap(t *testing.T, coldPhase bool) uint32 {
 	w := newFloorWorld(t, 1)
-	w.floor = 8
+	w.floor = overlapFloor
 	if !coldPhase {
 		w.mutateNode = (*controller.Controller).WithoutColdPhase
 	}
-	for i := range 3 {
+	for i := range overlapNodes {
 		w.nodes = append(w.nodes, &floorNode{index: i, slots: 4})
-		w.cut = append(w.cut, make([]bool, 3))
+		w.cut = append(w.cut, make([]bool, overlapNodes))
 	}
 	for _, node := range w.nodes {
 		w.start(node)
@@ -498,6 +503,8 @@
 	}
 	high := w.open(third, second, locker.Term{Counter: 9})
 	w.answer(third, first, high)
+	second.controller.Detector().Reset(second.now(w))
+	w.serve(second, false)
 
 	w.start(first)
 	w.now += 50 * time.Millisecond
@@ -506,7 +513,8 @@
 	for _, node := range w.nodes {
 		w.answer(second, node, low)
 	}
-	for _, node := range []*floorNode{second, third} {
+	w.serve(second, true)
+	for _, node := range w.nodes[1:] {
 		w.answer(third, node, high)
 	}
 	var serving uint32
@@ -563,9 +571,9 @@
 
 func TestFloorNeedsColdPhase(t *testing.T) {
 	t.Run("Holds", func(t *testing.T) {
-		require.GreaterOrEqual(t, overlap(t, true), uint32(8))
+		require.GreaterOrEqual(t, overlap(t, true), uint32(overlapFloor))
 	})
 	t.Run("BreaksWithoutColdPhase", func(t *testing.T) {
-		require.Less(t, overlap(t, false), uint32(8))
+		require.Less(t, overlap(t, false), uint32(overlapFloor))
 	})
 }
