--- /dev/null
+++ b/standins/measurer/traffic.go
@@ -0,0 +1,228 @@
+package measurer
+
+import (
+	"math"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/limiter"
+	"github.com/foxtailhall/foxtailhall/coordination/picker"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+)
+
+// arrive begins a request at a random router and plans the next.
+func (w *world) arrive() {
+	capacity := float64(w.pool.Servers*w.pool.Slots) / (medianTime.Seconds() * math.Exp(spread*spread/2) *
+		(1 + tailShare*(tailFactor-1)))
+	rate := capacity * w.pool.Load
+	if w.pool.Bursts && w.now%time.Minute < 2*time.Second {
+		rate *= 2
+	}
+	w.push(event{kind: eventArrive}, time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)))
+	slot := w.take()
+	w.nextID++
+	w.requests[slot] = request{
+		router: w.random.IntN(len(w.routers)), born: w.now, id: w.nextID,
+		origin: detector.Origin{Caller: w.random.Uint64N(callers), Route: w.random.Uint64N(routes)},
+	}
+	w.first++
+	w.routers[w.requests[slot].router].budget.First()
+	w.send(slot)
+}
+
+func (w *world) take() int {
+	if len(w.free) == 0 {
+		w.requests = append(w.requests, request{})
+		return len(w.requests) - 1
+	}
+	slot := w.free[len(w.free)-1]
+	w.free = w.free[:len(w.free)-1]
+	return slot
+}
+
+// send makes one attempt.
+func (w *world) send(slot int) {
+	r := &w.requests[slot]
+	target, ok := w.choose(r)
+	if !ok {
+		w.done(slot, false)
+		return
+	}
+	r.server = target
+	r.generation = w.servers[target].incarnation
+	r.sent = w.now
+	r.refused = false
+	r.bad = false
+	r.tried[r.tries] = r.generation
+	r.tries++
+	if entry, found := w.routers[r.router].pool.Find(r.generation); found {
+		entry.Server.Begin(w.now)
+	}
+	w.push(event{kind: eventReach, request: slot}, w.delay(r.router, target))
+}
+
+func (w *world) choose(r *request) (int, bool) {
+	if w.policy.RoundRobin {
+		return w.nextInTurn(r)
+	}
+	query := picker.Query{
+		Self:       w.servers[r.router].incarnation,
+		Zone:       string(rune('a' + r.router%zones)),
+		Now:        w.now,
+		Random:     w.random.Uint64(),
+		Idempotent: true,
+	}
+	for _, tried := range r.tried[:r.tries] {
+		query = query.WithTried(tried)
+	}
+	entry, _ := picker.Pick(w.routers[r.router].pool, query)
+	if entry.Server == nil {
+		return 0, false
+	}
+	return int(entry.Member.Incarnation&0xFF) - 1, true
+}
+
+// nextInTurn is the baselines' choice.
+func (w *world) nextInTurn(r *request) (int, bool) {
+	at := w.routers[r.router]
+	for range len(w.servers) {
+		at.turn = (at.turn + 1) % len(w.servers)
+		if w.now >= at.local[at.turn].until && w.states[at.turn].Working() {
+			return at.turn, true
+		}
+	}
+	return 0, false
+}
+
+// reach is the arrival of an attempt at its guard.
+func (w *world) reach(slot int) {
+	r := &w.requests[slot]
+	s := w.servers[r.server]
+	deadline := clocker.Instant{Mono: r.born + patience, Wall: time.Hour + r.born + patience}
+	if s.incarnation != r.generation || s.controller.State() == registrar.StateEjected {
+		w.refuse(slot)
+		return
+	}
+	r.reached = w.now
+	switch s.limiter.Admit(w.instant(), uint64(slot), deadline) {
+	case limiter.Started:
+		w.dispatch(slot)
+	case limiter.Queued:
+	default:
+		w.refuse(slot)
+	}
+}
+
+func (w *world) refuse(slot int) {
+	r := &w.requests[slot]
+	r.refused = true
+	w.push(event{kind: eventReply, request: slot}, w.delay(r.server, r.router))
+}
+
+// dispatch hands a request to the server.
+func (w *world) dispatch(slot int) {
+	r := &w.requests[slot]
+	s := w.servers[r.server]
+	r.began = w.now
+	if r.server == 0 && w.now >= w.onset {
+		w.dispatches = append(w.dispatches, w.now)
+	}
+	s.inFlight++
+	s.controller.Detector().Start(w.instant(), uint64(slot))
+	took, bad := w.serviceTime(r)
+	r.bad = bad
+	left := r.born + patience - w.now
+	w.push(event{kind: eventFinish, request: slot}, min(took, max(left, time.Millisecond)))
+}
+
+func (w *world) serviceTime(r *request) (time.Duration, bool) {
+	factor := math.Exp(spread * w.random.NormFloat64())
+	if w.random.Float64() < tailShare {
+		factor *= tailFactor
+	}
+	if w.now-w.servers[r.server].started < coldTime {
+		factor *= coldFactor
+	}
+	bad := w.random.Float64() < 0.001
+	if w.sickNow() && (w.fault.BadRoute && r.origin.Route == 0 || w.fault.BadCaller && r.origin.Caller == 0) {
+		bad = true
+	}
+	if w.sick(r.server) {
+		if w.fault.Factor > 0 {
+			factor *= w.fault.Factor
+		}
+		bad = bad || w.random.Float64() < w.fault.Share
+		if w.fault.Hang {
+			factor = 1e6
+		}
+	}
+	return time.Duration(factor * float64(medianTime)), bad
+}
+
+// finish is the end of a request at the server, or its deadline there.
+func (w *world) finish(slot int) {
+	r := &w.requests[slot]
+	s := w.servers[r.server]
+	if s.incarnation != r.generation {
+		w.refuse(slot)
+		return
+	}
+	censored := w.now-r.born >= patience
+	s.inFlight--
+	s.controller.Detector().Finish(w.instant(), uint64(slot), r.bad, censored, r.origin)
+	_ = s.controller.Observe(w.instant(), !r.bad && !censored)
+	if !censored {
+		s.limiter.Observe(w.now - r.began)
+	}
+	started, refused := s.limiter.Release(w.instant())
+	for _, next := range started {
+		w.dispatch(int(next))
+	}
+	for _, next := range refused {
+		w.refuse(int(next))
+	}
+	w.push(event{kind: eventReply, request: slot}, w.delay(r.server, r.router))
+}
+
+// reply is the end of an attempt at the router.
+func (w *world) reply(slot int) {
+	r := &w.requests[slot]
+	at := w.routers[r.router]
+	took := w.now - r.sent
+	if entry, found := at.pool.Find(r.generation); found {
+		entry.Server.End()
+		if !r.refused {
+			penalty := time.Duration(0)
+			if r.bad {
+				penalty = 500 * time.Millisecond
+			}
+			entry.Server.Answered(w.now, took+penalty, int64(w.servers[r.server].inFlight))
+			at.pool.Typical.Observe(took)
+		}
+	}
+	w.learn(at, r, took)
+	expired := w.now-r.born >= patience
+	if !expired && (r.refused || r.bad) && r.tries < maxTries && at.budget.Take() {
+		if !r.refused {
+			w.extra++
+		}
+		w.send(slot)
+		return
+	}
+	w.done(slot, !r.refused && !r.bad && !expired)
+}
+
+func (w *world) done(slot int, good bool) {
+	r := &w.requests[slot]
+	if w.now >= w.onset || w.onset == math.MaxInt64 {
+		w.answered++
+		if good {
+			w.good++
+		}
+		if w.now-r.born >= patience {
+			w.late++
+		}
+	}
+	w.free = append(w.free, slot)
+}
