--- a/coordination/claimer/once_test.go
+++ b/coordination/claimer/once_test.go
@@ -1,7 +1,6 @@
 package claimer_test
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -17,6 +16,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+	"github.com/foxtailhall/foxtailhall/standins/stepper"
 )
 
 const (
@@ -33,9 +33,8 @@
 // virtual clock, with messages late, twice or lost, guards that die or stop
 // between check and dispatch, and a log with outages and lost replies.
 type onceWorld struct {
+	*stepper.Stepper
 	random  *rand.Rand
-	now     time.Duration
-	events  onceQueue
 	serial  uint64
 	guards  []*onceGuard
 	routers []*onceRouter
@@ -88,35 +87,10 @@
 	ran bool
 }
 
-type onceEvent struct {
-	at time.Duration
-	id uint64
-	do func()
-}
-
-type onceQueue []onceEvent
-
-func (q onceQueue) Len() int { return len(q) }
-
-func (q onceQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].id < q[j].id
-}
-func (q onceQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *onceQueue) Push(x any)   { *q = append(*q, x.(onceEvent)) }
-
-func (q *onceQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newOnceWorld(seed uint64) *onceWorld {
 	w := &onceWorld{
 		random:   rand.New(rand.NewPCG(seed, 11)),
-		now:      time.Hour,
+		Stepper:  stepper.New(time.Hour),
 		runs:     map[uint64]int{},
 		keyRuns:  map[string]int{},
 		told:     map[uint64]retrier.Step{},
@@ -137,11 +111,6 @@
 	return w.between(-20*time.Second, 20*time.Second)
 }
 
-func (w *onceWorld) after(d time.Duration, do func()) {
-	w.serial++
-	heap.Push(&w.events, onceEvent{at: w.now + d, id: w.serial, do: do})
-}
-
 func (w *onceWorld) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(w.random.Int64N(int64(high-low)))
 }
@@ -157,7 +126,7 @@
 }
 
 func (g *onceGuard) now(w *onceWorld) clocker.Instant {
-	return clocker.Instant{Mono: w.now, Wall: w.now + g.skew}
+	return clocker.Instant{Mono: w.Now(), Wall: w.Now() + g.skew}
 }
 
 // carry delivers a message late, twice, much too late, or never.
@@ -177,7 +146,7 @@
 		case 1:
 			delay = w.between(5*time.Second, 10*time.Minute)
 		}
-		w.after(delay, deliver)
+		w.After(delay, deliver)
 	}
 }
 
@@ -190,8 +159,8 @@
 	if guard.incarnation != incarnation {
 		return
 	}
-	if w.now < guard.pausedUntil {
-		w.after(guard.pausedUntil-w.now, func() { w.arrive(guard, incarnation, deliver) })
+	if w.Now() < guard.pausedUntil {
+		w.After(guard.pausedUntil-w.Now(), func() { w.arrive(guard, incarnation, deliver) })
 		return
 	}
 	deliver()
@@ -201,7 +170,7 @@
 func (w *onceWorld) operate() {
 	kind := retrier.KindOnce
 	key := ""
-	keyMs := w.now.Milliseconds()
+	keyMs := w.Now().Milliseconds()
 	repeats := 0
 	switch w.random.IntN(3) {
 	case 0:
@@ -220,9 +189,9 @@
 			longest := []time.Duration{5 * time.Millisecond, 10 * time.Second, 15 * time.Minute}
 			delay = w.between(0, longest[w.random.IntN(len(longest))])
 		}
-		w.after(delay, func() { w.request(kind, key, keyMs) })
+		w.After(delay, func() { w.request(kind, key, keyMs) })
 	}
-	w.after(w.between(time.Millisecond, 200*time.Millisecond), w.operate)
+	w.After(w.between(time.Millisecond, 200*time.Millisecond), w.operate)
 }
 
 func (w *onceWorld) request(kind retrier.Kind, key string, keyMs int64) {
@@ -231,7 +200,7 @@
 		id: w.serial, kind: kind, key: key, keyMs: keyMs, open: true,
 		router: w.routers[w.random.IntN(onceRouters)],
 	}
-	routerMs := (w.now + request.router.skew).Milliseconds()
+	routerMs := (w.Now() + request.router.skew).Milliseconds()
 	switch {
 	case key == "":
 		w.attempt(request, w.guards[w.random.IntN(onceGuards)].incarnation, false)
@@ -251,7 +220,7 @@
 	if binding.Fate == claimer.FateFree || binding.Fate == claimer.FateNeverRan {
 		claim := claimer.Claim{Key: request.key, Guard: w.guards[w.random.IntN(onceGuards)].incarnation}
 		w.append(claimer.Record{Claims: []claimer.Claim{claim}})
-		w.await(request, w.now+onceClaimTimeout)
+		w.await(request, w.Now()+onceClaimTimeout)
 		return
 	}
 	w.follow(request, binding)
@@ -262,10 +231,10 @@
 	switch {
 	case binding.Fate != claimer.FateFree && binding.Fate != claimer.FateNeverRan:
 		w.follow(request, binding)
-	case w.now >= until:
+	case w.Now() >= until:
 		w.tell(request, retrier.StepNotRun)
 	default:
-		w.after(20*time.Millisecond, func() { w.await(request, until) })
+		w.After(20*time.Millisecond, func() { w.await(request, until) })
 	}
 }
 
@@ -278,14 +247,14 @@
 	if w.random.IntN(10) == 0 {
 		delay = w.between(0, 10*time.Second)
 	}
-	w.after(delay, func() { w.log = append(w.log, onceRecord{at: w.now, record: record}) })
+	w.After(delay, func() { w.log = append(w.log, onceRecord{at: w.Now(), record: record}) })
 }
 
 // read lets a router follow the log, and a new router start from what is kept.
 func (w *onceWorld) read(router *onceRouter) {
 	if !w.logDown && w.random.IntN(10) > 0 {
 		earliest := int64(0)
-		for earliest < int64(len(w.log)) && w.now-w.log[earliest].at > onceRetention {
+		for earliest < int64(len(w.log)) && w.Now()-w.log[earliest].at > onceRetention {
 			earliest++
 		}
 		router.ledger.Skip(earliest)
@@ -294,13 +263,13 @@
 			router.ledger.Apply(at, w.log[at].at.Milliseconds(), w.log[at].record)
 		}
 		if w.random.IntN(200) == 0 {
-			router.ledger.Forget((w.now - onceRetention).Milliseconds())
+			router.ledger.Forget((w.Now() - onceRetention).Milliseconds())
 		}
 	}
 	if w.random.IntN(3000) == 0 {
 		router.ledger = claimer.New()
 	}
-	w.after(w.between(5*time.Millisecond, 50*time.Millisecond), func() { w.read(router) })
+	w.After(w.between(5*time.Millisecond, 50*time.Millisecond), func() { w.read(router) })
 }
 
 // follow runs a keyed request at the guard that its key is bound to.
@@ -323,7 +292,7 @@
 	guard := w.guards[incarnation&0xFF-1]
 	var id dispatcher.AttemptID
 	binary.BigEndian.PutUint64(id[:], w.random.Uint64())
-	issued := (w.now + request.router.skew).Milliseconds()
+	issued := (w.Now() + request.router.skew).Milliseconds()
 	ended := false
 	end := func(how retrier.End) {
 		if ended || !request.open {
@@ -335,7 +304,7 @@
 	request.tries++
 	request.ran = request.ran || repeat
 	w.to(guard, incarnation, func() { w.begin(guard, request, id, issued, end) })
-	w.after(onceLostAfter, func() { end(retrier.EndLost) })
+	w.After(onceLostAfter, func() { end(retrier.EndLost) })
 }
 
 // begin is the guard's part: rule, maybe refuse, dispatch after a while, answer.
@@ -366,7 +335,7 @@
 		return
 	}
 	guard.active++
-	w.after(w.between(0, 30*time.Millisecond), func() {
+	w.After(w.between(0, 30*time.Millisecond), func() {
 		w.arrive(guard, incarnation, func() { w.dispatch(guard, request, id, reply) })
 	})
 }
@@ -396,7 +365,7 @@
 	if request.key != "" {
 		w.keyRuns[request.key]++
 	}
-	w.after(w.between(time.Millisecond, 300*time.Millisecond), func() {
+	w.After(w.between(time.Millisecond, 300*time.Millisecond), func() {
 		w.arrive(guard, incarnation, func() {
 			guard.active--
 			state, answer := dispatcher.StateDone, &dispatcher.Answer{Status: 200, Body: make([]byte, 100)}
@@ -457,7 +426,7 @@
 		}
 		w.carry(func() { finish(state) })
 	})
-	w.after(time.Second, func() { finish(dispatcher.StateUnseen) })
+	w.After(time.Second, func() { finish(dispatcher.StateUnseen) })
 }
 
 func (w *onceWorld) tell(request *onceRequest, step retrier.Step) {
@@ -476,7 +445,7 @@
 	case 0:
 		w.restart(guard)
 	case 1:
-		guard.pausedUntil = w.now + w.between(time.Millisecond, 8*time.Second)
+		guard.pausedUntil = w.Now() + w.between(time.Millisecond, 8*time.Second)
 	case 2:
 		w.stop(guard)
 	case 3:
@@ -485,14 +454,14 @@
 		w.logDown = false
 		w.lossRate = 4 + w.random.IntN(30)
 	}
-	w.after(w.between(time.Second, 20*time.Second), w.disturb)
+	w.After(w.between(time.Second, 20*time.Second), w.disturb)
 }
 
 // stop is a planned stop: drain, leave the last word on the log, restart.
 func (w *onceWorld) stop(guard *onceGuard) {
 	guard.leaving = true
 	incarnation := guard.incarnation
-	w.after(50*time.Millisecond, func() { w.drain(guard, incarnation) })
+	w.After(50*time.Millisecond, func() { w.drain(guard, incarnation) })
 }
 
 func (w *onceWorld) drain(guard *onceGuard, incarnation uint64) {
@@ -500,10 +469,10 @@
 		return
 	}
 	if guard.active > 0 {
-		w.after(50*time.Millisecond, func() { w.drain(guard, incarnation) })
+		w.After(50*time.Millisecond, func() { w.drain(guard, incarnation) })
 		return
 	}
-	closure := &claimer.Closure{Guard: incarnation, SinceMs: (w.now - 2*onceKeyLifetime).Milliseconds()}
+	closure := &claimer.Closure{Guard: incarnation, SinceMs: (w.Now() - 2*onceKeyLifetime).Milliseconds()}
 	for _, key := range guard.memory.RanKeys() {
 		closure.Ran = append(closure.Ran, claimer.Ran{Key: key.Key, Status: key.Status, Known: key.State == dispatcher.StateDone})
 	}
@@ -511,18 +480,13 @@
 	w.restart(guard)
 }
 
-func (w *onceWorld) run(length time.Duration) {
+func (w *onceWorld) live(length time.Duration) {
 	for _, router := range w.routers {
 		w.read(router)
 	}
 	w.operate()
-	w.after(5*time.Second, w.disturb)
-	until := w.now + length
-	for w.now < until {
-		next := heap.Pop(&w.events).(onceEvent)
-		w.now = next.at
-		next.do()
-	}
+	w.After(5*time.Second, w.disturb)
+	w.Run(w.Now() + length)
 }
 
 // broken lists the promises that the world broke.
@@ -559,7 +523,7 @@
 			t.Run(strconv.Itoa(seed), func(t *testing.T) {
 				t.Parallel()
 				world := newOnceWorld(uint64(seed))
-				world.run(40 * time.Minute)
+				world.live(40 * time.Minute)
 				broken := world.broken()
 				require.Empty(t, broken[:min(len(broken), 5)], "%d in all", len(broken))
 				mu.Lock()
--- a/coordination/controller/floor_test.go
+++ b/coordination/controller/floor_test.go
@@ -1,7 +1,6 @@
 package controller_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -17,6 +16,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
 	"github.com/foxtailhall/foxtailhall/coordination/locker"
+	"github.com/foxtailhall/foxtailhall/standins/stepper"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 )
 
@@ -31,8 +31,7 @@
 type floorWorld struct {
 	t      *testing.T
 	random *rand.Rand
-	now    time.Duration
-	events eventQueue
+	*stepper.Stepper
 	nextID int
 	nodes  []*floorNode
 	floor  uint32
@@ -78,34 +77,10 @@
 	locks map[locker.Term]bool
 }
 
-type event struct {
-	at time.Duration
-	id int
-	do func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].id < q[j].id
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newFloorWorld(t *testing.T, seed uint64) *floorWorld {
 	w := &floorWorld{
 		t:             t,
+		Stepper:       stepper.New(0),
 		random:        rand.New(rand.NewPCG(seed, 7)),
 		mutateNode:    func(c *controller.Controller) *controller.Controller { return c },
 		mutateEjector: func(e *ejector.Ejector) *ejector.Ejector { return e },
@@ -128,17 +103,12 @@
 	}
 }
 
-func (w *floorWorld) after(d time.Duration, do func()) {
-	w.nextID++
-	heap.Push(&w.events, event{at: w.now + d, id: w.nextID, do: do})
-}
-
 func (w *floorWorld) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(w.random.Int64N(int64(high-low)))
 }
 
 func (n *floorNode) now(w *floorWorld) clocker.Instant {
-	return clocker.Instant{Mono: w.now - n.lag, Wall: w.now + n.skew}
+	return clocker.Instant{Mono: w.Now() - n.lag, Wall: w.Now() + n.skew}
 }
 
 // start begins a new incarnation of a process and its server.
@@ -166,15 +136,15 @@
 	if node.incarnation != incarnation || !node.alive {
 		return
 	}
-	if w.now < node.pausedUntil {
-		w.after(node.pausedUntil-w.now, func() { w.tick(node, incarnation) })
+	if w.Now() < node.pausedUntil {
+		w.After(node.pausedUntil-w.Now(), func() { w.tick(node, incarnation) })
 		return
 	}
 	now := node.now(w)
 	require.NoError(w.t, node.controller.Tick(now, w.floor))
 	w.feed(node, now)
 	w.perform(node, node.ejector.Tick(now))
-	w.after(w.between(80*time.Millisecond, 200*time.Millisecond), func() { w.tick(node, incarnation) })
+	w.After(w.between(80*time.Millisecond, 200*time.Millisecond), func() { w.tick(node, incarnation) })
 }
 
 // feed gives a server answers: good ones, or bad ones while it is sick.
@@ -226,15 +196,15 @@
 		if w.restless && w.random.IntN(3) == 0 {
 			delay = w.between(6*time.Millisecond, time.Second)
 		}
-		w.after(delay, func() { w.deliver(to, deliver) })
+		w.After(delay, func() { w.deliver(to, deliver) })
 	}
 }
 
 func (w *floorWorld) deliver(to *floorNode, deliver func()) {
 	switch {
 	case !to.alive:
-	case w.now < to.pausedUntil:
-		w.after(to.pausedUntil-w.now, func() { w.deliver(to, deliver) })
+	case w.Now() < to.pausedUntil:
+		w.After(to.pausedUntil-w.Now(), func() { w.deliver(to, deliver) })
 	default:
 		deliver()
 	}
@@ -310,7 +280,7 @@
 		return
 	}
 	w.breaches = append(w.breaches, fmt.Sprintf("at %s: %d healthy, %d died in the round, floor %d, term %v",
-		w.now, healthy, window, w.floor, action.Term))
+		w.Now(), healthy, window, w.floor, action.Term))
 }
 
 func (w *floorWorld) down(node *floorNode) bool {
@@ -331,17 +301,17 @@
 	node := w.nodes[w.random.IntN(len(w.nodes))]
 	if w.restless {
 		w.crash(node)
-		w.after(w.between(50*time.Millisecond, time.Second), w.disturb)
+		w.After(w.between(50*time.Millisecond, time.Second), w.disturb)
 		return
 	}
 	switch w.random.IntN(6) {
 	case 0:
 		w.crash(node)
 	case 1:
-		node.pausedUntil = w.now + w.between(100*time.Millisecond, 5*time.Second)
+		node.pausedUntil = w.Now() + w.between(100*time.Millisecond, 5*time.Second)
 	case 2:
 		pause := w.between(100*time.Millisecond, 5*time.Second)
-		node.pausedUntil = w.now + pause
+		node.pausedUntil = w.Now() + pause
 		node.lag += pause
 	case 3:
 		w.leave(node)
@@ -353,7 +323,7 @@
 			clear(w.cut[i])
 		}
 	}
-	w.after(w.between(500*time.Millisecond, 4*time.Second), w.disturb)
+	w.After(w.between(500*time.Millisecond, 4*time.Second), w.disturb)
 }
 
 // crash ends a process without notice and starts it again soon.
@@ -369,22 +339,22 @@
 	if w.restless || w.random.IntN(2) == 0 {
 		down = w.between(time.Millisecond, 50*time.Millisecond)
 	}
-	w.after(down, func() { w.start(node) })
+	w.After(down, func() { w.start(node) })
 }
 
 // leave is a planned stop, followed by a new start.
 func (w *floorWorld) leave(node *floorNode) {
-	if !node.alive || node.controller.Leaving() || w.now < node.pausedUntil {
+	if !node.alive || node.controller.Leaving() || w.Now() < node.pausedUntil {
 		return
 	}
 	incarnation := node.incarnation
 	delay := node.controller.AskLeave(node.now(w))
-	w.after(delay, func() {
+	w.After(delay, func() {
 		if node.incarnation != incarnation || !node.alive {
 			return
 		}
 		require.NoError(w.t, node.controller.Leave(node.now(w)))
-		w.after(w.between(time.Millisecond, time.Second), func() {
+		w.After(w.between(time.Millisecond, time.Second), func() {
 			if node.incarnation == incarnation && node.alive {
 				node.alive = false
 				w.start(node)
@@ -393,14 +363,10 @@
 	})
 }
 
-func (w *floorWorld) run(length time.Duration) {
+func (w *floorWorld) live(length time.Duration) {
 	w.build()
-	w.after(3*time.Second, w.disturb)
-	for w.now < length {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.do()
-	}
+	w.After(3*time.Second, w.disturb)
+	w.Run(length)
 }
 
 // totals adds up the worlds of several seeds.
@@ -423,7 +389,7 @@
 				for seed := shard; seed < seeds; seed += shards {
 					world := newFloorWorld(t, uint64(seed))
 					change(world)
-					world.run(length)
+					world.live(length)
 					mu.Lock()
 					sum.add(seed, world)
 					mu.Unlock()
@@ -496,7 +462,7 @@
 	for _, node := range w.nodes {
 		w.start(node)
 	}
-	w.now = 10 * time.Second
+	w.Advance(10 * time.Second)
 	first, second, third := w.nodes[0], w.nodes[1], w.nodes[2]
 	for _, node := range w.nodes {
 		w.serve(node, node == second)
@@ -507,7 +473,7 @@
 	w.serve(second, false)
 
 	w.start(first)
-	w.now += 50 * time.Millisecond
+	w.Advance(50 * time.Millisecond)
 	w.serve(first, true)
 	low := w.open(second, first, locker.Term{})
 	for _, node := range w.nodes {
