dispatcher: Assert the promises inside the program

Cause: only the version's rise was asserted in the program itself; the floor and at-most-once were asserted by the random runs alone.

Now the ejector recounts its round after its orders, and a guard asks its memory right before it hands a request over; both log InvariantBroken, and the guard then answers Unknown and hands nothing over. The random runs fail on either.

Conclusion: a breach shows in logs and metrics, not in callers' bills.

--- a/coordination/claimer/once_test.go
+++ b/coordination/claimer/once_test.go
@@ -360,6 +360,9 @@
 // dispatch hands the request to the backend server, which runs it.
 func (w *onceWorld) dispatch(guard *onceGuard, request *onceRequest, id dispatcher.AttemptID, reply func(retrier.End)) {
 	incarnation := guard.incarnation
+	if !guard.memory.MayDispatch(id, request.key) {
+		w.falseWords = append(w.falseWords, fmt.Sprintf("request %d was dispatched against the guard's memory", request.id))
+	}
 	w.ran++
 	w.runs[request.id]++
 	if request.key != "" {
--- a/coordination/controller/floor_test.go
+++ b/coordination/controller/floor_test.go
@@ -220,6 +220,8 @@
 			w.sendOrder(from, target, action)
 		case ejector.ActionDecline:
 			w.declined++
+		case ejector.ActionBroken:
+			w.breaches = append(w.breaches, fmt.Sprintf("at %s: %s, capacity %d", w.Now(), action.Reason, action.Capacity))
 		}
 	}
 }
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -114,10 +114,12 @@
 }
 
 type keyRecord struct {
-	key    string
-	state  State
-	status int
-	at     clocker.Instant
+	key string
+	// attempt is the one that was allowed to run the key.
+	attempt AttemptID
+	state   State
+	status  int
+	at      clocker.Instant
 	// answer is nil once it was dropped for space.
 	answer *Answer
 }
@@ -171,7 +173,7 @@
 	}
 	d.note(now, id, StateRunning)
 	if key != "" {
-		d.noteKey(now, key)
+		d.noteKey(now, key, id)
 	}
 	return RulingRun, nil
 }
@@ -208,8 +210,26 @@
 	d.attempts[id] = d.order.PushBack(&attempt{state: state, at: now, id: id})
 }
 
-func (d *Dispatcher) noteKey(now clocker.Instant, key string) {
-	d.keys[key] = d.keyOrder.PushBack(&keyRecord{key: key, state: StateRunning, at: now})
+func (d *Dispatcher) noteKey(now clocker.Instant, key string, id AttemptID) {
+	d.keys[key] = d.keyOrder.PushBack(&keyRecord{key: key, attempt: id, state: StateRunning, at: now})
+}
+
+// MayDispatch asserts, right before the request is handed over, that this
+// attempt is the one running and that its key, if it has one, is running by it.
+func (d *Dispatcher) MayDispatch(id AttemptID, key string) bool {
+	element, ok := d.attempts[id]
+	if !ok || element.Value.(*attempt).state != StateRunning {
+		return false
+	}
+	if key == "" {
+		return true
+	}
+	element, ok = d.keys[key]
+	if !ok {
+		return false
+	}
+	record := element.Value.(*keyRecord)
+	return record.state == StateRunning && record.attempt == id
 }
 
 // Withdraw turns a running attempt that never reached the backend server into a
--- a/coordination/dispatcher/dispatcher_test.go
+++ b/coordination/dispatcher/dispatcher_test.go
@@ -86,6 +86,14 @@
 		requireRuling(t, d, 3, "a", dispatcher.RulingRan)
 		requireRuling(t, d, 3, "b", dispatcher.RulingRepeat)
 	})
+	t.Run("OnlyTheRunningAttemptMayBeDispatched", func(t *testing.T) {
+		d := dispatcher.New(limits)
+		requireRuling(t, d, 1, "k", dispatcher.RulingRun)
+		require.True(t, d.MayDispatch(id(1), "k"))
+		require.False(t, d.MayDispatch(id(2), "k"))
+		d.Finish(at(0), id(1), "k", dispatcher.StateDone, 200, nil)
+		require.False(t, d.MayDispatch(id(1), "k"))
+	})
 	t.Run("WithdrawnKeyMayRun", func(t *testing.T) {
 		d := dispatcher.New(limits)
 		requireRuling(t, d, 1, "k", dispatcher.RulingRun)
--- a/coordination/ejector/ejector.go
+++ b/coordination/ejector/ejector.go
@@ -81,6 +81,9 @@
 	ActionOrder
 	// ActionDecline tells why a condemned server is not ejected; it is only logged.
 	ActionDecline
+	// ActionBroken tells that the round's own count is below the floor after its
+	// orders. It must never come; it is logged as a broken invariant.
+	ActionBroken
 )
 
 // Action is one decision.
@@ -320,7 +323,22 @@
 			actions = append(actions, r.order(target, OrderEject, "Sick", capacity))
 			continue
 		}
-		return append(actions, e.makeRoom(r, target, baseline, capacity)...)
+		actions = append(actions, e.makeRoom(r, target, baseline, capacity)...)
+		break
+	}
+	return e.checked(r, actions)
+}
+
+// checked asserts that the count without the targets still reaches the floor.
+func (e *Ejector) checked(r *round, actions []Action) []Action {
+	capacity := r.capacity(e.countUnlocked)
+	for _, action := range actions {
+		if action.Kind == ActionOrder && action.Order == OrderEject && capacity < e.params.FloorSlots {
+			action.Kind = ActionBroken
+			action.Reason = "FloorInRound"
+			action.Capacity = capacity
+			return append(actions, action)
+		}
 	}
 	return actions
 }
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -288,6 +288,9 @@
 	if err := g.fill(request, stream, work, body); err != nil {
 		return err
 	}
+	if !g.mayDispatch(work) {
+		return g.unknown(stream, "InvariantBroken")
+	}
 	began := g.deps.Now()
 	exchange, err := g.deliverer.Send(ctx, request, func() { g.startClock(work) })
 	if err != nil {
@@ -324,6 +327,21 @@
 	return nil
 }
 
+// mayDispatch asserts that the memory allows this attempt to run now.
+func (g *Guard) mayDispatch(work *task) bool {
+	if !work.remembered {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dispatcher.MayDispatch(work.attempt, work.head.Key) {
+		return true
+	}
+	g.deps.Log.Error("InvariantBroken", "Invariant", "RunsAtMostOnce",
+		"Request", fmt.Sprintf("%x", work.head.Attempt), "Key", work.head.Key)
+	return false
+}
+
 func (g *Guard) startClock(work *task) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/transport/runner/evidence.go
+++ b/transport/runner/evidence.go
@@ -109,6 +109,9 @@
 			r.logAction("EjectionOrdered", service, action)
 			r.deps.Meter.Event("Order" + action.Order.String())
 			go r.order(service, action)
+		case ejector.ActionBroken:
+			r.logAction("InvariantBroken", service, action)
+			r.deps.Meter.Event("InvariantBroken")
 		case ejector.ActionDecline:
 			r.logAction("EjectionDeclined", service, action)
 			r.deps.Meter.Event("EjectionDeclined")
