--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 test: build lint
 	go vet ./...
 	go test -timeout 20m $$(go list ./... | grep -v /proofs$$)
-	go test -timeout 20m ./proofs
+	go test -count=1 -timeout 20m ./proofs
 	@if [ -s KNOWN-RED.txt ]; then echo "Known red, passed over:"; cat KNOWN-RED.txt; fi
 
 clean:
