cataloger: Let routes split, limit and rank their requests

Cause: the users' operator splits routes by weight and gives each a time limit, an objective, a priority and a bound on attempts, and bounds what callers may send. The product's objects had no field for these. Settings gain the addresses and bounds of a platform in place of the log. Ruled out: a second set of objects for the platform, since routing and checks would then stand twice.

--- a/commands/reference_test.go
+++ b/commands/reference_test.go
@@ -72,7 +72,7 @@
 
 func writeField(page *strings.Builder, field *ast.Field) {
 	tag := reflect.StructTag(strings.Trim(field.Tag.Value, "`"))
-	name := tag.Get("yaml")
+	name, _, _ := strings.Cut(tag.Get("yaml"), ",")
 	meaning := strings.Join(strings.Fields(field.Doc.Text()), " ")
 	if meaning == "" {
 		meaning = "Names the " + strings.ToLower(name) + "."
--- a/state/cataloger/cataloger.go
+++ b/state/cataloger/cataloger.go
@@ -22,6 +22,7 @@
 	servers  *immutable.Map[string, BackendServer]
 	routes   *immutable.Map[string, Route]
 	policies *immutable.Map[string, Policy]
+	limits   Limits
 	// paths maps host, then path prefix without a trailing slash, to the route's name.
 	// The first route of a place keeps it.
 	paths *immutable.Map[string, *immutable.Map[string, string]]
@@ -37,6 +38,7 @@
 		servers:    immutable.NewMap[string, BackendServer](nil),
 		routes:     immutable.NewMap[string, Route](nil),
 		policies:   immutable.NewMap[string, Policy](nil),
+		limits:     DefaultLimits(),
 		paths:      immutable.NewMap[string, *immutable.Map[string, string]](nil),
 		references: immutable.NewMap[string, int](nil),
 	}
@@ -81,6 +83,9 @@
 	for _, policy := range objects.Policies {
 		c.policies = c.policies.Set(policy.Name, policy)
 	}
+	for _, limits := range objects.Limits {
+		c.limits = limits
+	}
 	for _, route := range objects.Routes {
 		c = c.withoutRoute(route.Name)
 	}
@@ -108,6 +113,10 @@
 		return c.withoutRoute(key.Name)
 	case KindPolicy:
 		c.policies = c.policies.Delete(key.Name)
+	case KindLimits:
+		if c.limits.Name == key.Name {
+			c.limits = DefaultLimits()
+		}
 	}
 	return c
 }
@@ -153,7 +162,14 @@
 	if _, taken := prefixes.Get(place); !taken {
 		c.paths = c.paths.Set(route.Host, prefixes.Set(place, route.Name))
 	}
-	return c.withReference(KindService, route.Service, 1)
+	return c.withTargets(route, 1)
+}
+
+func (c Catalog) withTargets(route Route, change int) Catalog {
+	for _, service := range route.Targets() {
+		c = c.withReference(KindService, service, change)
+	}
+	return c
 }
 
 func (c Catalog) withoutRoute(name string) Catalog {
@@ -167,7 +183,7 @@
 	if owner, _ := prefixes.Get(place); owner == name {
 		c.paths = c.paths.Set(old.Host, prefixes.Delete(place))
 	}
-	return c.withReference(KindService, old.Service, -1)
+	return c.withTargets(old, -1)
 }
 
 func (c Catalog) withReference(kind Kind, name string, change int) Catalog {
@@ -214,6 +230,9 @@
 	}
 }
 
+// Limits returns the bounds of what callers may send.
+func (c Catalog) Limits() Limits { return c.limits }
+
 // Service returns the named service.
 func (c Catalog) Service(name string) (Service, bool) { return c.services.Get(name) }
 
--- a/state/cataloger/checks.go
+++ b/state/cataloger/checks.go
@@ -66,9 +66,15 @@
 func (c Catalog) routeFaults(route Route) []Fault {
 	var faults []Fault
 	key := Key{Kind: KindRoute, Name: route.Name}
-	if _, ok := c.services.Get(route.Service); !ok {
-		reason := fmt.Sprintf("no Service is named %q", route.Service)
-		faults = append(faults, Fault{Key: key, Field: "Service", Reason: reason})
+	for _, service := range route.Targets() {
+		if _, ok := c.services.Get(service); !ok {
+			reason := fmt.Sprintf("no Service is named %q", service)
+			faults = append(faults, Fault{Key: key, Field: "Service", Reason: reason})
+		}
+	}
+	if len(route.Split) > 0 && route.Service != "" {
+		reason := "Service and Split exclude each other"
+		faults = append(faults, Fault{Key: key, Field: "Split", Reason: reason})
 	}
 	if route.Idempotent && route.NonIdempotent {
 		reason := "Idempotent and NonIdempotent exclude each other"
@@ -117,6 +123,8 @@
 		_, ok = c.routes.Get(key.Name)
 	case KindPolicy:
 		_, ok = c.policies.Get(key.Name)
+	case KindLimits:
+		ok = c.limits.Name == key.Name
 	}
 	return ok
 }
--- a/state/cataloger/lister.go
+++ b/state/cataloger/lister.go
@@ -11,11 +11,12 @@
 	Servers  []BackendServer
 	Routes   []Route
 	Policies []Policy
+	Limits   []Limits
 }
 
 // Len counts the objects of all kinds.
 func (o Objects) Len() int {
-	return len(o.Services) + len(o.Servers) + len(o.Routes) + len(o.Policies)
+	return len(o.Services) + len(o.Servers) + len(o.Routes) + len(o.Policies) + len(o.Limits)
 }
 
 // Objects returns all objects, each kind sorted by name.
@@ -25,9 +26,17 @@
 		Servers:  c.sortedServers(),
 		Routes:   c.sortedRoutes(),
 		Policies: c.sortedPolicies(),
+		Limits:   c.ownLimits(),
 	}
 }
 
+func (c Catalog) ownLimits() []Limits {
+	if c.limits.Name == "" {
+		return nil
+	}
+	return []Limits{c.limits}
+}
+
 func (c Catalog) sortedServices() []Service {
 	all := make([]Service, 0, c.services.Len())
 	for itr := c.services.Iterator(); !itr.Done(); {
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -22,8 +22,28 @@
 	AdminAddress string `yaml:"AdminAddress" validate:"required,hostname_port"`
 	// Zone is the availability zone of the VM.
 	Zone string `yaml:"Zone" validate:"required,max=64"`
-	// LogAddress is the IP:port of the platform's log.
-	LogAddress string `yaml:"LogAddress" validate:"required,hostname_port"`
+	// LogAddress is the IP:port of the log that operators publish to. It is empty if StoreAddress is given.
+	LogAddress string `yaml:"LogAddress" validate:"required_without=StoreAddress,omitempty,hostname_port"`
+	// StoreAddress is the IP:port of a platform's metadata store, which then takes the log's place.
+	StoreAddress string `yaml:"StoreAddress" validate:"excluded_with=LogAddress,omitempty,hostname_port"`
+	// AnnounceAddress is the IP:port where the backend server beside announces itself on a platform.
+	AnnounceAddress string `yaml:"AnnounceAddress" validate:"required_with=StoreAddress,omitempty,hostname_port"`
+	// ReadyAddress is the IP:port where a platform asks whether the process is ready.
+	ReadyAddress string `yaml:"ReadyAddress" validate:"required_with=StoreAddress,omitempty,hostname_port"`
+	// ServerAddress is the IP:port of the backend server beside on a platform.
+	ServerAddress string `yaml:"ServerAddress" validate:"required_with=StoreAddress,omitempty,hostname_port"`
+	// Service names the service of the VM, told to backend servers with each request that begins here.
+	Service string `yaml:"Service" validate:"required_with=StoreAddress,max=100"`
+	// FloorShare is the share of a service's announced slots that ejections leave, for services from a platform.
+	FloorShare float64 `yaml:"FloorShare" default:"0.7" validate:"min=0,max=1"`
+	// RetryShare bounds the fleet's repeats, as a share of all requests, for services from a platform.
+	RetryShare float64 `yaml:"RetryShare" default:"0.1" validate:"min=0,max=1"`
+	// RetrySlack is what the fleet's repeats may exceed RetryShare by within RetryWindow.
+	RetrySlack float64 `yaml:"RetrySlack" validate:"min=0,max=1000000"`
+	// RetryWindow is the window of RetryShare and RetrySlack.
+	RetryWindow time.Duration `yaml:"RetryWindow" default:"10s" validate:"min=100ms,max=10m"`
+	// StopLimit is the time after the request to stop at which the process is killed; 0 if it is not.
+	StopLimit time.Duration `yaml:"StopLimit" validate:"min=0s,max=1h"`
 	// Peers are IP:ports of other processes to join through.
 	Peers []string `yaml:"Peers" validate:"max=100,dive,hostname_port"`
 	// LogLevel is the least level of log lines: Debug, Info, Warn or Error.
--- a/state/parser/parser.go
+++ b/state/parser/parser.go
@@ -122,8 +122,15 @@
 		}
 		parsed.Objects.Policies = append(parsed.Objects.Policies, policy)
 		return policy.Name, nil
+	case cataloger.KindLimits:
+		var limits cataloger.Limits
+		if err := p.checker.Decode(file, doc, &limits); err != nil {
+			return "", err
+		}
+		parsed.Objects.Limits = append(parsed.Objects.Limits, limits)
+		return limits.Name, nil
 	}
-	reason := fmt.Sprintf("%q is not one of Service, BackendServer, Route, Policy", kind)
+	reason := fmt.Sprintf("%q is not one of Service, BackendServer, Route, Policy, Limits", kind)
 	return "", checker.Faults{{File: file, Line: checker.Line(doc, "Kind"), Field: "Kind", Reason: reason}}
 }
 
@@ -191,6 +198,9 @@
 	for _, route := range objects.Routes {
 		text, err = appendDocument(text, route, err)
 	}
+	for _, limits := range objects.Limits {
+		text, err = appendDocument(text, limits, err)
+	}
 	if err != nil {
 		return "", fmt.Errorf("formatting objects: %w", err)
 	}
--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -23,6 +23,8 @@
 	refusedTime = time.Second
 	// probeGap is the least time between two probes of a silent path.
 	probeGap = 400 * time.Millisecond
+	// reportLifetime is how long a reported load counts for something.
+	reportLifetime = time.Second
 	// coldShare is the least share of its slots that a new server counts with.
 	coldShare = 0.25
 )
@@ -37,9 +39,10 @@
 	latency atomic.Uint64
 	// inFlight counts this router's own requests at the server.
 	inFlight atomic.Int64
-	// reported is the load that the guard gave with its last answer.
-	reported atomic.Int64
-	failures atomic.Int64
+	// reported is the load that the guard told last, and reportedAt the monotonic time of it.
+	reported   atomic.Int64
+	reportedAt atomic.Int64
+	failures   atomic.Int64
 	// avoidUntil is a monotonic time; 0 means that the server is not avoided.
 	avoidUntil atomic.Int64
 	// silentSince is the monotonic time of the first request that nothing was
@@ -60,10 +63,19 @@
 // InFlight counts this router's own requests at the server.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// Load estimates the requests at the server: those of this router or those
-// that the guard last reported, whichever are more.
-func (s *Server) Load() int64 {
-	return max(s.inFlight.Load(), s.reported.Load())
+// Load estimates the requests at the server at a monotonic time: those of this
+// router or those that the guard last reported, whichever are more. A report
+// loses its weight as the requests that it counted come to their ends.
+func (s *Server) Load(now time.Duration) int64 {
+	age := now - time.Duration(s.reportedAt.Load())
+	left := 1 - float64(age)/float64(reportLifetime)
+	return max(s.inFlight.Load(), int64(float64(s.reported.Load())*left+0.5))
+}
+
+// Busy notes at a monotonic time a load that the guard told with a refusal.
+func (s *Server) Busy(now time.Duration, load int64) {
+	s.reported.Store(load)
+	s.reportedAt.Store(int64(now))
 }
 
 // Latency returns the smoothed answer time in microseconds, 0 before the first answer.
@@ -116,7 +128,7 @@
 // Answered notes an answer that came at a monotonic time, with the load that the guard told.
 func (s *Server) Answered(now, took time.Duration, load int64) {
 	s.Heard(now)
-	s.reported.Store(load)
+	s.Busy(now, load)
 	s.Observe(took)
 }
 
