--- /dev/null
+++ b/coordination/breaker/breaker.go
@@ -0,0 +1,114 @@
+// Package breaker decides, beside one backend server, whether it is given work
+// right after it has failed. It reacts to a single failure, within the moment,
+// and needs no peers; ejection, which is slower and surer, is decided elsewhere.
+package breaker
+
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+)
+
+const (
+	// maxFactor bounds the growth of the pause over a series of failures.
+	maxFactor = 1.8
+	// trialTimeout lets another trial start when the first does not come back.
+	trialTimeout = time.Second
+)
+
+// State is that of a breaker.
+type State uint8
+
+// States of a breaker.
+const (
+	// Closed lets all requests pass.
+	Closed State = iota
+	// Open passes the server over.
+	Open
+	// HalfOpen lets one idempotent request pass as a trial.
+	HalfOpen
+)
+
+// String gives the name of the state.
+func (s State) String() string {
+	names := [...]string{"Closed", "Open", "HalfOpen"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "Unknown"
+}
+
+// Breaker is that of one backend server. It is not safe for concurrent use.
+type Breaker struct {
+	// first is how long the server is passed over after a failure; 0 is not at all.
+	first time.Duration
+	state State
+	// until ends the state Open.
+	until clocker.Instant
+	// pause is that of the present series of failures.
+	pause time.Duration
+	// trialSince is when the trial of the state HalfOpen began; zero without one.
+	trialSince clocker.Instant
+	// halfOpenSince is when the state HalfOpen began.
+	halfOpenSince clocker.Instant
+}
+
+// New returns a closed breaker with the pause after a first failure. A pause of
+// 0 keeps it closed for good.
+func New(first time.Duration) *Breaker { return &Breaker{first: first} }
+
+// SetPause takes the pause of a newer policy.
+func (b *Breaker) SetPause(first time.Duration) { b.first = first }
+
+// State returns the state at a time.
+func (b *Breaker) State(now clocker.Instant) State {
+	if b.state == Open && now.Since(b.until) >= 0 {
+		b.state = HalfOpen
+		b.halfOpenSince = now
+		b.trialSince = clocker.Instant{}
+	}
+	return b.state
+}
+
+// Allow tells whether a request may be given to the server. One that insists
+// always may: its caller has found no better server.
+func (b *Breaker) Allow(now clocker.Instant, idempotent, insist bool) bool {
+	switch b.State(now) {
+	case Closed:
+		return true
+	case Open:
+		return insist
+	default:
+		return b.allowTrial(now, idempotent) || insist
+	}
+}
+
+// allowTrial lets one request through; any kind once idempotent ones stay away.
+func (b *Breaker) allowTrial(now clocker.Instant, idempotent bool) bool {
+	running := b.trialSince != (clocker.Instant{}) && now.Since(b.trialSince) < trialTimeout
+	if running || !idempotent && now.Since(b.halfOpenSince) < trialTimeout {
+		return false
+	}
+	b.trialSince = now
+	return true
+}
+
+// Good notes an answer that shows the server to work.
+func (b *Breaker) Good(now clocker.Instant) {
+	if b.State(now) == Open {
+		return
+	}
+	b.state = Closed
+	b.pause = 0
+}
+
+// Bad notes a failure of the server and returns true if the breaker opens by it.
+func (b *Breaker) Bad(now clocker.Instant) bool {
+	if b.first == 0 || b.State(now) == Open {
+		return false
+	}
+	b.pause = min(max(2*b.pause, b.first), time.Duration(maxFactor*float64(b.first)))
+	b.state = Open
+	b.until = now.Add(b.pause)
+	return true
+}
--- /dev/null
+++ b/coordination/enroller/enroller.go
@@ -0,0 +1,100 @@
+// Package enroller orders what backend servers say of themselves, so that late
+// and foreign announcements change nothing.
+package enroller
+
+// Entry is one announcement of a backend server.
+type Entry struct {
+	// ID names the server. A server may start again under the ID that it had.
+	ID string
+	// Address is the IP:port where the server takes HTTP requests.
+	Address string
+	Service string
+	// Slots is the number of requests that the server works on at once.
+	Slots uint32
+	// StartedMs is the Unix time in ms of the server's start.
+	StartedMs int64
+	// Sequence rises with each announcement of one run; 0 in a farewell.
+	Sequence uint64
+	// Leaving is set once the server takes no new work.
+	Leaving bool
+}
+
+// Verdict is what becomes of an announcement.
+type Verdict uint8
+
+// Verdicts on announcements.
+const (
+	// VerdictAnnounced means that the run is there.
+	VerdictAnnounced Verdict = iota + 1
+	// VerdictRetired means that the run leaves.
+	VerdictRetired
+	// VerdictForeign means that the entry is of a server at another address.
+	VerdictForeign
+	// VerdictStale means that a later run, or a later word of the same run, is known.
+	VerdictStale
+)
+
+// String gives the name of the verdict.
+func (v Verdict) String() string {
+	names := [...]string{"Unknown", "Announced", "Retired", "Foreign", "Stale"}
+	if int(v) < len(names) {
+		return names[v]
+	}
+	return names[0]
+}
+
+// Enroller knows the latest run of the server at one address. It is immutable.
+type Enroller struct {
+	address string
+	// latest is the last entry that was not stale.
+	latest Entry
+}
+
+// New returns the enroller of the server at an IP:port.
+func New(address string) Enroller { return Enroller{address: address} }
+
+// Latest returns the last entry that counted.
+func (e Enroller) Latest() Entry { return e.latest }
+
+// WithEntry takes one announcement or farewell.
+func (e Enroller) WithEntry(entry Entry) (Enroller, Verdict) {
+	if entry.Address != "" && entry.Address != e.address {
+		return e, VerdictForeign
+	}
+	if e.stale(entry) {
+		return e, VerdictStale
+	}
+	if entry.Leaving {
+		return e.withLeaving(entry), VerdictRetired
+	}
+	e.latest = entry
+	return e, VerdictAnnounced
+}
+
+func (e Enroller) stale(entry Entry) bool {
+	known := e.latest
+	farewell := entry.Address == ""
+	switch {
+	case farewell && entry.StartedMs == 0:
+		return known.ID != "" && entry.ID != known.ID
+	case entry.StartedMs != known.StartedMs:
+		return entry.StartedMs < known.StartedMs
+	case entry.ID != known.ID:
+		return farewell
+	case known.Leaving && !entry.Leaving:
+		return true
+	default:
+		return !farewell && entry.Sequence <= known.Sequence
+	}
+}
+
+// withLeaving notes that a run leaves. A farewell does not tell the rest.
+func (e Enroller) withLeaving(entry Entry) Enroller {
+	if entry.ID == e.latest.ID && (entry.StartedMs == 0 || entry.StartedMs == e.latest.StartedMs) {
+		e.latest.Leaving = true
+		e.latest.Sequence = max(e.latest.Sequence, entry.Sequence)
+		return e
+	}
+	e.latest = entry
+	return e
+}
--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -50,6 +50,8 @@
 type waiting struct {
 	id       uint64
 	deadline clocker.Instant
+	// rank is the urgency; 0 is the most urgent.
+	rank uint32
 }
 
 // Limiter admits requests to one backend server. It is not safe for concurrent use.
@@ -58,7 +60,7 @@
 	maxQueue int
 	// inFlight never exceeds slots, save after slots was lowered.
 	inFlight int
-	// queue holds waiting requests in order of arrival, at most maxQueue.
+	// queue holds waiting requests by rank, then in order of arrival, at most maxQueue.
 	queue   *list.List
 	service time.Duration
 }
@@ -86,7 +88,13 @@
 // Admit decides on a request that arrives now. An idle server takes any request
 // that is not past its deadline, so that a high estimate can come down again.
 func (l *Limiter) Admit(now clocker.Instant, id uint64, deadline clocker.Instant) Decision {
-	if l.tooLate(now, deadline, l.expectedWait()) {
+	return l.AdmitRanked(now, id, deadline, 0)
+}
+
+// AdmitRanked is Admit for a request of some urgency. A more urgent one, of
+// lower rank, starts before all less urgent ones that wait.
+func (l *Limiter) AdmitRanked(now clocker.Instant, id uint64, deadline clocker.Instant, rank uint32) Decision {
+	if l.tooLate(now, deadline, l.expectedWait(rank)) {
 		return RefusedLate
 	}
 	if l.inFlight < l.slots {
@@ -96,15 +104,33 @@
 	if l.queue.Len() >= l.maxQueue {
 		return RefusedFull
 	}
-	l.queue.PushBack(waiting{id: id, deadline: deadline})
+	l.insert(waiting{id: id, deadline: deadline, rank: rank})
 	return Queued
 }
 
-func (l *Limiter) expectedWait() time.Duration {
+// insert puts a request behind those of its own rank and of lower ones.
+func (l *Limiter) insert(next waiting) {
+	for element := l.queue.Back(); element != nil; element = element.Prev() {
+		if element.Value.(waiting).rank <= next.rank {
+			l.queue.InsertAfter(next, element)
+			return
+		}
+	}
+	l.queue.PushFront(next)
+}
+
+// Free tells whether a request would start at once.
+func (l *Limiter) Free() bool { return l.inFlight < l.slots && l.queue.Len() == 0 }
+
+func (l *Limiter) expectedWait(rank uint32) time.Duration {
 	if l.inFlight < l.slots || l.slots == 0 {
 		return 0
 	}
-	return l.service * time.Duration(l.queue.Len()+1) / time.Duration(l.slots)
+	ahead := 0
+	for element := l.queue.Front(); element != nil && element.Value.(waiting).rank <= rank; element = element.Next() {
+		ahead++
+	}
+	return l.service * time.Duration(ahead+1) / time.Duration(l.slots)
 }
 
 func (l *Limiter) tooLate(now, deadline clocker.Instant, wait time.Duration) bool {
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -10,7 +10,7 @@
 
 const (
 	// MaxTried bounds the servers that one request may exclude.
-	MaxTried = 4
+	MaxTried = 8
 	// trialShare is how many requests there are to one trial of a slow server or of one on probation.
 	trialShare = 16
 	// slowFactor is how much slower than the pool a server may be and still be
@@ -156,7 +156,7 @@
 		return
 	}
 	d.busy.draw(i, &d.random)
-	if !free(entry) || slow(pool, entry) && !d.explore {
+	if !free(entry, query.Now) || slow(pool, entry) && !d.explore {
 		return
 	}
 	if entry.Member.Incarnation == query.Self {
@@ -190,8 +190,8 @@
 }
 
 // free tells whether the server seems to have a slot left.
-func free(entry *tracker.Entry) bool {
-	return entry.Server.Load() < int64(entry.Member.Slots)
+func free(entry *tracker.Entry, now time.Duration) bool {
+	return entry.Server.Load(now) < int64(entry.Member.Slots)
 }
 
 // slow tells whether the server answers much later than the pool.
@@ -220,5 +220,5 @@
 		latency = defaultLatency
 	}
 	slots := float64(max(entry.Member.Slots, 1)) * entry.Server.Warmth(now)
-	return float64(entry.Server.Load()+1) * latency / slots
+	return float64(entry.Server.Load(now)+1) * latency / slots
 }
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -9,8 +9,6 @@
 const (
 	// milli is the scale of the budget's tokens.
 	milli = 1000
-	// burstTokens is the budget of a service that has been idle.
-	burstTokens = 10
 	// MaxAttempts bounds the attempts of one request, hedges included.
 	MaxAttempts = 3
 	// hedgeQuantile is the quantile of answer times after which a hedge may start.
@@ -21,37 +19,101 @@
 	minHedgeDelay = 2 * time.Millisecond
 )
 
-// Budget bounds retries and hedges of one service at one router to a share of
-// its first attempts. It is safe for concurrent use.
+// Allowance is what one process may spend on repeats of one service.
+type Allowance struct {
+	// Share is the part of first attempts that repeats may add, from 0 to 1.
+	Share float64
+	// PerSecond is what is added without any first attempt, in tokens.
+	PerSecond float64
+	// Burst bounds what is saved up, in tokens.
+	Burst float64
+}
+
+// DefaultBurst is the budget of a service that has been idle, in tokens.
+const DefaultBurst = 10
+
+// Fleet is a bound that all processes share on the repeats of one service.
+type Fleet struct {
+	// Share is the part of all requests that repeats may add, from 0 to 1.
+	Share float64
+	// Slack is what may come on top within one window.
+	Slack  float64
+	Window time.Duration
+}
+
+const (
+	// ownShare is the part of the fleet's share that is spent here. The rest is
+	// for the calls that repeated requests make, which count as repeats where
+	// they arrive.
+	ownShare = 0.65
+	// steadySlack is the part of the fleet's slack that is given out steadily.
+	// Most of the rest is what the processes save up.
+	steadySlack = 0.35
+	// leastBurst lets a process spend a whole token.
+	leastBurst = 1.0
+)
+
+// Allowance returns the part of one process among so many.
+func (f Fleet) Allowance(processes int) Allowance {
+	each := f.Slack / float64(max(processes, 1))
+	return Allowance{
+		Share:     ownShare * f.Share,
+		PerSecond: steadySlack * each / f.Window.Seconds(),
+		Burst:     leastBurst,
+	}
+}
+
+// Budget bounds retries and hedges of one service at one router. It is safe
+// for concurrent use.
 type Budget struct {
-	// tokens is in thousandths, from 0 to burstTokens thousands.
+	// tokens is in thousandths, from 0 to burst.
 	tokens atomic.Int64
 	// share is in thousandths of a token for each first attempt.
 	share atomic.Int64
+	// burst is in thousandths of a token.
+	burst atomic.Int64
+	// perSecond is in thousandths of a token.
+	perSecond atomic.Int64
+	// refilled is the monotonic time of the last refill.
+	refilled atomic.Int64
 }
 
 // New returns a full budget with the given share, from 0 to 1.
 func New(share float64) *Budget {
 	budget := &Budget{}
-	budget.SetShare(share)
-	budget.tokens.Store(burstTokens * milli)
+	budget.SetAllowance(Allowance{Share: share, Burst: DefaultBurst})
+	budget.tokens.Store(budget.burst.Load())
 	return budget
 }
 
-// SetShare takes a newer policy.
-func (b *Budget) SetShare(share float64) {
-	b.share.Store(int64(share * milli))
+// SetAllowance takes a newer policy or another number of processes.
+func (b *Budget) SetAllowance(allowance Allowance) {
+	b.share.Store(int64(allowance.Share * milli))
+	b.burst.Store(int64(allowance.Burst * milli))
+	b.perSecond.Store(int64(allowance.PerSecond * milli))
+	b.add(0)
+}
+
+// Refill adds what is given without first attempts up to a monotonic time.
+func (b *Budget) Refill(now time.Duration) {
+	last := b.refilled.Load()
+	gained := int64(float64(b.perSecond.Load()) * (now - time.Duration(last)).Seconds())
+	if gained <= 0 || !b.refilled.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	b.add(gained)
 }
 
 // First counts a first attempt.
 func (b *Budget) First() {
-	share := b.share.Load()
+	b.add(b.share.Load())
+}
+
+func (b *Budget) add(gained int64) {
 	for {
 		have := b.tokens.Load()
-		if have >= burstTokens*milli {
-			return
-		}
-		if b.tokens.CompareAndSwap(have, min(have+share, burstTokens*milli)) {
+		want := min(have+gained, b.burst.Load())
+		if want == have || b.tokens.CompareAndSwap(have, want) {
 			return
 		}
 	}
--- a/layout_test.go
+++ b/layout_test.go
@@ -19,7 +19,8 @@
 	"protocol":     {"protocol"},
 	"coordination": {"coordination", "state"},
 	"transport":    {"transport", "coordination", "protocol", "state"},
-	"commands":     {"commands", "transport", "coordination", "protocol", "state"},
+	"platform":     {"coordination", "protocol", "state"},
+	"commands":     {"commands", "platform", "transport", "coordination", "protocol", "state"},
 	"standins":     {"standins", "transport", "coordination", "protocol", "state"},
 }
 
--- /dev/null
+++ b/protocol/interpreter/interpreter.go
@@ -0,0 +1,92 @@
+// Package interpreter names what the process reads from and writes into the
+// header fields of its callers and of its backend server. Each interface that
+// the process speaks supplies its own functions.
+package interpreter
+
+import (
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+)
+
+// Marks are what a caller's header fields say of its request.
+type Marks struct {
+	// ID names the request in answers and logs; empty if the caller gave none.
+	ID string
+	// Patience is how long the caller waits from the request's arrival; 0 if it did not say.
+	Patience time.Duration
+	// Idempotent and NonIdempotent go before the route's own mark. Never both.
+	Idempotent    bool
+	NonIdempotent bool
+	// Key is an idempotency key, and KeyTime the text of the time at which a caller made its own.
+	Key     string
+	KeyTime string
+}
+
+// Word is what the system says of a request that it answers itself.
+type Word struct {
+	ID      string
+	Outcome answerer.Outcome
+	// Reason says why, in one word.
+	Reason string
+	// RetryAfter is when a repeat may succeed; 0 says nothing about it.
+	RetryAfter time.Duration
+}
+
+// Callers speaks with callers.
+type Callers struct {
+	// Read returns the marks of a request, or an error that names the malformed field.
+	Read func(header *protocol.RequestHeader) (Marks, error)
+	// Consumed tells whether a field, given in lower case, is not passed on to backend servers.
+	Consumed func(lower string) bool
+	// Mark adds the system's fields to a backend server's own answer.
+	Mark func(header *protocol.ResponseHeader, id string, repeated bool)
+	// Refuse adds the system's fields to an answer of its own.
+	Refuse func(header *protocol.ResponseHeader, word Word)
+}
+
+// Offer is what a backend server is told of a request.
+type Offer struct {
+	// ID is the caller's name of the request.
+	ID string
+	// Left is the time left to the deadline, and DeadlineMs the same as Unix time in ms.
+	Left       time.Duration
+	DeadlineMs int64
+	// Run is the run of the backend server that is meant; another must refuse.
+	Run string
+	// Origin is the service of the VM on which the request began.
+	Origin string
+}
+
+// Load is what a backend server says of its own load.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Judgement is what the header fields of a backend server's answer show.
+type Judgement struct {
+	// NotRun means that the server says that it has not run the request and never will.
+	NotRun bool
+	// OtherRun means that another run of a server has the address. NotRun is set as well.
+	OtherRun bool
+	// Foreign means that the answer belongs to another request.
+	Foreign bool
+	// Echoed means that the answer names the request that it belongs to.
+	Echoed bool
+	// Unproven means that a successful answer lacks the server's own proof of origin.
+	Unproven bool
+	// Load is nil if the server does not tell.
+	Load *Load
+	// Idle is how long the server keeps the connection; 0 if it did not say.
+	Idle time.Duration
+}
+
+// Servers speaks with backend servers.
+type Servers struct {
+	// Offer adds the system's fields to a request.
+	Offer func(header *protocol.RequestHeader, offer Offer)
+	// Judge reads the fields of an answer.
+	Judge func(header *protocol.ResponseHeader, offer Offer) Judgement
+}
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -12,7 +11,7 @@
 
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
-	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/transport/deliverer"
 )
@@ -20,7 +19,7 @@
 // answer checks and streams the backend server's answer.
 func (g *Guard) answer(
 	ctx context.Context, stream messenger.DRPCGuard_ForwardStream,
-	work *task, exchange *deliverer.Exchange, began clocker.Instant,
+	work *task, exchange *deliverer.Exchange, judged interpreter.Judgement,
 ) error {
 	first := make([]byte, firstSize(exchange.Length()))
 	n, err := io.ReadFull(exchange, first)
@@ -33,11 +32,11 @@
 		return g.failed(ctx, stream, work, err)
 	}
 	status := exchange.Response.StatusCode()
-	if reason := violation(work, exchange, n, ended); reason != "" {
+	if reason := violation(work, exchange, judged, n, ended); reason != "" {
 		return g.violated(ctx, stream, work, reason)
 	}
 	now := g.deps.Now()
-	service := now.Since(began)
+	service := now.Since(work.sent)
 	inFlight, queued := g.note(ctx, now, work, exchange, first, ended, service)
 	head := &messenger.AnswerHead{
 		Status:    uint32(status),
@@ -78,11 +77,19 @@
 	defer g.mu.Unlock()
 	status := exchange.Response.StatusCode()
 	bad := status >= serverErrorStatus
-	g.controller.Detector().Finish(now, work.id, bad, ctx.Err() != nil, work.origin)
-	if !work.head.BodyFollows {
-		g.limiter.Observe(service)
-	}
+	late := ctx.Err() != nil
+	delete(g.running, work.id)
+	g.controller.Detector().Finish(now, work.id, bad, late, work.origin)
+	g.limiter.Observe(service)
+	g.usual.Observe(work.head.Route, service)
 	g.observe(now, !bad)
+	switch {
+	case !bad:
+		g.breaker.Good(now)
+		g.heard = now
+	case !late:
+		g.noteFailure(now, work, "ErrorAnswer")
+	}
 	if ended {
 		g.finish(now, work, dispatcher.StateDone, status, kept(work, exchange, first))
 	}
@@ -133,10 +140,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.deps.Now()
+	delete(g.running, work.id)
 	g.finish(now, work, dispatcher.StateBroken, 0, nil)
 	if callerGone {
 		return
 	}
+	g.noteFailure(now, work, "CutOff")
 	g.controller.Detector().Fault(work.origin)
 	g.observe(now, false)
 }
@@ -148,16 +157,21 @@
 	g.mu.Lock()
 	now := g.deps.Now()
 	g.controller.Detector().Finish(now, work.id, true, ctx.Err() != nil, work.origin)
+	delete(g.running, work.id)
 	g.finish(now, work, dispatcher.StateBroken, 0, nil)
+	g.noteFailure(now, work, reason)
 	g.observe(now, false)
 	g.mu.Unlock()
-	g.deps.Log.Info("WrongAnswer", "Request", fmt.Sprintf("%x", work.head.Attempt), "Reason", reason)
+	g.deps.Log.Info("WrongAnswer", "Request", work.head.RequestId, "Reason", reason)
 	return g.unknown(stream, reason)
 }
 
 // violation tells how an answer breaks what the service declares, if it does.
-func violation(work *task, exchange *deliverer.Exchange, n int, ended bool) string {
+func violation(work *task, exchange *deliverer.Exchange, judged interpreter.Judgement, n int, ended bool) string {
 	response := exchange.Response
+	if judged.Unproven {
+		return "Unproven"
+	}
 	if response.StatusCode() != okStatus {
 		return ""
 	}
@@ -170,24 +184,12 @@
 	if ended && int64(n) < work.service.MinAnswerBytes {
 		return "AnswerTooShort"
 	}
-	if !work.service.EchoesRequestID {
-		return ""
-	}
-	if string(response.Header.Peek(answerer.HeaderRequestID)) != requestID(work.head) {
+	if work.service.EchoesRequestID && !judged.Echoed {
 		return "OtherRequestId"
 	}
 	return ""
 }
 
-func requestID(head *messenger.RequestHead) string {
-	for _, header := range head.Headers {
-		if strings.EqualFold(header.Name, answerer.HeaderRequestID) {
-			return header.Value
-		}
-	}
-	return ""
-}
-
 func headersOf(response *protocol.Response) []*messenger.Header {
 	var headers []*messenger.Header
 	response.Header.VisitAll(func(name, value []byte) {
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
+	"io"
 	"strings"
 	"time"
 
@@ -16,6 +16,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
 	"github.com/foxtailhall/foxtailhall/coordination/limiter"
 	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
@@ -23,7 +24,7 @@
 )
 
 const (
-	// ShortBodyBytes is the longest body that travels in one piece with its head.
+	// ShortBodyBytes is the longest answer that is checked whole before any of it is passed on.
 	ShortBodyBytes = 64 << 10
 	// chunkBytes is the size of the pieces of longer bodies.
 	chunkBytes = 32 << 10
@@ -36,6 +37,8 @@
 var (
 	ErrProtocol = eris.New("stream does not start with a request's head")
 	errCutShort = eris.New("request body ended early")
+	// errNotReleased means that a router did not release an attempt that it had offered.
+	errNotReleased = eris.New("offered attempt was not released in time")
 )
 
 // task is one attempt at this guard.
@@ -48,6 +51,23 @@
 	remembered bool
 	origin     detector.Origin
 	service    cataloger.Service
+	// run is that of the backend server at the task's start.
+	run string
+	// sent is when the request was handed to the backend server.
+	sent clocker.Instant
+	// overdue is set once the answer has taken much longer than is usual.
+	overdue bool
+}
+
+// offer is what the backend server is told of the attempt.
+func (w *task) offer(now clocker.Instant) interpreter.Offer {
+	return interpreter.Offer{
+		ID:         w.head.RequestId,
+		Left:       -now.Since(w.deadline),
+		DeadlineMs: w.deadline.UnixMilli(),
+		Run:        w.run,
+		Origin:     w.head.Origin,
+	}
 }
 
 // refusal is a truthful word that an attempt has not run, or the word on its key.
@@ -56,8 +76,18 @@
 	reason  string
 	// answer is the kept answer of the same key, if there is one.
 	answer *dispatcher.Answer
+	// arrived is set if the backend server itself refused.
+	arrived bool
 }
 
+// Reasons of refusals that a router acts on.
+const (
+	reasonBusy     = "Busy"
+	reasonDoubtful = "Doubtful"
+	reasonLeaving  = "Leaving"
+	reasonEjected  = "Ejected"
+)
+
 // Forward carries one attempt.
 func (g *Guard) Forward(stream messenger.DRPCGuard_ForwardStream) error {
 	frame, err := stream.Recv()
@@ -71,16 +101,23 @@
 	budget := time.Duration(head.BudgetUs) * time.Microsecond
 	ctx, cancel := context.WithTimeout(stream.Context(), budget)
 	defer cancel()
-	work, refused := g.admit(ctx, head, budget)
+	work, refused := g.admit(ctx, stream, head, budget)
 	if refused != nil {
 		return g.refuse(stream, head, *refused)
 	}
 	defer g.release()
-	return g.run(ctx, stream, work)
+	body := &upload{stream: stream, left: head.BodyLength, ended: !head.BodyFollows}
+	defer body.drain()
+	if err := g.awaitRelease(stream, work, body); err != nil {
+		return err
+	}
+	return g.run(ctx, stream, work, body)
 }
 
 // admit rules on the attempt and waits until it holds a slot.
-func (g *Guard) admit(ctx context.Context, head *messenger.RequestHead, budget time.Duration) (*task, *refusal) {
+func (g *Guard) admit(
+	ctx context.Context, stream messenger.DRPCGuard_ForwardStream, head *messenger.RequestHead, budget time.Duration,
+) (*task, *refusal) {
 	g.mu.Lock()
 	work, decision, refused := g.enter(head, budget)
 	if refused != nil {
@@ -95,6 +132,10 @@
 	started := make(chan bool, 1)
 	g.waiters[work.id] = started
 	g.mu.Unlock()
+	queued := &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: &messenger.Verdict{Queued: true}}}
+	if err := send(stream, queued); err != nil {
+		g.deps.Log.Debug("QueuedNotTold", "Error", err)
+	}
 	return g.wait(ctx, work, started)
 }
 
@@ -104,7 +145,7 @@
 		return nil, 0, &refusal{outcome: answerer.OutcomeNotRun, reason: "OtherIncarnation"}
 	}
 	if !g.controller.Present() || head.Service != g.service.Name {
-		return nil, 0, &refusal{outcome: answerer.OutcomeNotRun, reason: "OtherService"}
+		return nil, 0, &refusal{outcome: answerer.OutcomeNotRun, reason: reasonLeaving}
 	}
 	g.nextID++
 	work := &task{
@@ -114,23 +155,38 @@
 		remembered: !head.Idempotent,
 		origin:     detector.Origin{Caller: head.Caller, Route: head.Route},
 		service:    g.service,
+		run:        g.announced.Run,
 	}
 	copy(work.attempt[:], head.Attempt)
 	if refused := g.rule(now, work); refused != nil {
 		return nil, 0, refused
 	}
-	reason := g.closedReason()
+	decision, reason := g.admission(now, work)
 	if reason == "" {
-		decision := g.limiter.Admit(now, work.id, work.deadline)
-		if decision == limiter.Started || decision == limiter.Queued {
-			return work, decision, nil
-		}
-		reason = decision.String()
+		return work, decision, nil
 	}
 	g.withdraw(work)
 	return nil, 0, &refusal{outcome: answerer.OutcomeNotRun, reason: reason}
 }
 
+// admission returns the limiter's decision, or why the request is refused.
+func (g *Guard) admission(now clocker.Instant, work *task) (limiter.Decision, string) {
+	if reason := g.closedReason(); reason != "" {
+		return 0, reason
+	}
+	if !work.head.Insist && !g.limiter.Free() {
+		return 0, reasonBusy
+	}
+	if !g.breaker.Allow(now, work.head.Idempotent, work.head.Insist) {
+		return 0, reasonDoubtful
+	}
+	decision := g.limiter.AdmitRanked(now, work.id, work.deadline, work.head.Rank)
+	if decision == limiter.Started || decision == limiter.Queued {
+		return decision, ""
+	}
+	return 0, decision.String()
+}
+
 // rule consults the memory of attempts and keys.
 func (g *Guard) rule(now clocker.Instant, work *task) *refusal {
 	if !work.remembered {
@@ -154,9 +210,9 @@
 func (g *Guard) closedReason() string {
 	switch g.controller.State() {
 	case registrar.StateEjected:
-		return "Ejected"
+		return reasonEjected
 	case registrar.StateLeaving, registrar.StateGone:
-		return "Leaving"
+		return reasonLeaving
 	default:
 		return ""
 	}
@@ -227,8 +283,8 @@
 }
 
 func (g *Guard) refuse(stream messenger.DRPCGuard_ForwardStream, head *messenger.RequestHead, refused refusal) error {
-	g.deps.Log.Info("Refused", "Request", fmt.Sprintf("%x", head.Attempt), "Service", head.Service,
-		"Outcome", refused.outcome.String(), "Reason", refused.reason)
+	g.deps.Log.Info("Refused", "Request", head.RequestId, "Service", head.Service,
+		"Outcome", refused.outcome.String(), "Reason", refused.reason, "Insist", head.Insist)
 	if refused.answer != nil {
 		return g.sendKept(stream, refused.answer)
 	}
@@ -236,11 +292,16 @@
 	if outcome == answerer.OutcomeNotRun && !head.Idempotent {
 		outcome = g.fenced(head)
 	}
+	inFlight, waiting := g.Load()
 	return send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: &messenger.Verdict{
-		Outcome: uint32(outcome),
-		Reason:  refused.reason,
-		Leaving: refused.reason == "Leaving",
-		Ejected: refused.reason == "Ejected",
+		Outcome:  uint32(outcome),
+		Reason:   refused.reason,
+		Leaving:  refused.reason == reasonLeaving,
+		Ejected:  refused.reason == reasonEjected,
+		Doubtful: refused.reason == reasonDoubtful,
+		Busy:     refused.reason == reasonBusy,
+		Load:     uint32(max(0, inFlight+waiting)),
+		Arrived:  refused.arrived,
 	}}})
 }
 
@@ -279,31 +340,75 @@
 	return nil
 }
 
-// run hands the request to the backend server and streams the answer back.
-func (g *Guard) run(ctx context.Context, stream messenger.DRPCGuard_ForwardStream, work *task) error {
-	request := protocol.AcquireRequest()
-	defer protocol.ReleaseRequest(request)
-	body := &upload{stream: stream, left: work.head.BodyLength, ended: !work.head.BodyFollows}
-	defer body.drain()
-	if err := g.fill(request, stream, work, body); err != nil {
+// releaseTimeout is how long an admitted attempt may hold its slot before its
+// router releases it. It covers a retransmission between availability zones.
+const releaseTimeout = time.Second
+
+// awaitRelease tells the router that the attempt is admitted. An attempt that
+// was offered runs only once the router has sent its first frame after that,
+// so that one whose router has gone never runs.
+func (g *Guard) awaitRelease(stream messenger.DRPCGuard_ForwardStream, work *task, body *upload) error {
+	admitted := &messenger.Verdict{Admitted: true}
+	if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: admitted}}); err != nil {
+		g.abandonOffer(work, err)
 		return err
 	}
+	if !work.head.Offer {
+		return nil
+	}
+	released := make(chan error, 1)
+	go func() { released <- body.prefetch() }()
+	timer := time.NewTimer(releaseTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-released:
+		if err != nil {
+			g.abandonOffer(work, err)
+		}
+		return err
+	case <-timer.C:
+		body.abandon()
+		g.abandonOffer(work, errNotReleased)
+		return errNotReleased
+	}
+}
+
+func (g *Guard) abandonOffer(work *task, cause error) {
+	g.mu.Lock()
+	g.withdraw(work)
+	g.mu.Unlock()
+	g.deps.Log.Info("OfferAbandoned", "Request", work.head.RequestId, "Error", cause)
+}
+
+// run hands the request to the backend server and streams the answer back.
+func (g *Guard) run(
+	ctx context.Context, stream messenger.DRPCGuard_ForwardStream, work *task, body *upload,
+) error {
+	request := &protocol.Request{}
+	g.fill(request, work, body)
 	if !g.mayDispatch(work) {
 		return g.unknown(stream, "InvariantBroken")
 	}
 	began := g.deps.Now()
-	exchange, err := g.deliverer.Send(ctx, request, func() { g.startClock(work) })
+	var judged interpreter.Judgement
+	judge := func(header *protocol.ResponseHeader) (bool, time.Duration) {
+		judged = g.deps.Servers.Judge(header, work.offer(began))
+		return judged.Foreign, judged.Idle
+	}
+	exchange, err := g.deliverer.Send(ctx, request, judge, func() { g.startClock(work) })
 	if err != nil {
 		return g.failed(ctx, stream, work, err)
 	}
 	defer exchange.Close()
-	return g.answer(ctx, stream, work, exchange, began)
+	if judged.NotRun {
+		return g.declined(stream, work, exchange, judged)
+	}
+	return g.answer(ctx, stream, work, exchange, judged)
 }
 
-func (g *Guard) fill(
-	request *protocol.Request, stream messenger.DRPCGuard_ForwardStream, work *task, body *upload,
-) error {
+func (g *Guard) fill(request *protocol.Request, work *task, body *upload) {
 	head := work.head
+	request.Header.SetNoDefaultContentType(true)
 	request.Header.SetMethod(head.Method)
 	request.Header.SetRequestURI(head.Uri)
 	for _, header := range head.Headers {
@@ -313,18 +418,13 @@
 		}
 		request.Header.Add(header.Name, header.Value)
 	}
-	deadline := work.deadline.UnixMilli()
-	request.Header.Set(answerer.HeaderServerDeadline, strconv.FormatInt(deadline, 10))
-	if !head.BodyFollows {
+	g.deps.Servers.Offer(&request.Header, work.offer(g.deps.Now()))
+	switch {
+	case !head.BodyFollows:
 		request.SetBody(head.Body)
-		return nil
-	}
-	admitted := &messenger.Verdict{Admitted: true}
-	if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: admitted}}); err != nil {
-		return err
+	case head.BodyLength != 0:
+		request.SetBodyStream(body, int(head.BodyLength))
 	}
-	request.SetBodyStream(body, int(head.BodyLength))
-	return nil
 }
 
 // mayDispatch asserts that the memory allows this attempt to run now.
@@ -338,32 +438,73 @@
 		return true
 	}
 	g.deps.Log.Error("InvariantBroken", "Invariant", "RunsAtMostOnce",
-		"Request", fmt.Sprintf("%x", work.head.Attempt), "Key", work.head.Key)
+		"Request", work.head.RequestId, "Key", work.head.Key)
 	return false
 }
 
 func (g *Guard) startClock(work *task) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.controller.Detector().Start(g.deps.Now(), work.id)
+	work.sent = g.deps.Now()
+	g.running[work.id] = work
+	g.controller.Detector().Start(work.sent, work.id)
+	g.deps.Log.Info("Dispatched", "Request", work.head.RequestId, "Service", work.head.Service, "Run", work.run,
+		"InFlight", g.limiter.InFlight(), "Waiting", g.limiter.Waiting(), "LeftMs", -work.sent.Since(work.deadline).Milliseconds())
+}
+
+// declined handles the server's own word that it has not run the request.
+func (g *Guard) declined(
+	stream messenger.DRPCGuard_ForwardStream, work *task, exchange *deliverer.Exchange, judged interpreter.Judgement,
+) error {
+	reason := "ServerRefused"
+	if judged.OtherRun {
+		reason = "OtherRun"
+	}
+	g.mu.Lock()
+	now := g.deps.Now()
+	delete(g.running, work.id)
+	g.withdraw(work)
+	g.controller.Detector().Finish(now, work.id, true, true, work.origin)
+	g.noteFailure(now, work, reason)
+	g.mu.Unlock()
+	if _, err := io.Copy(io.Discard, exchange); err != nil {
+		g.deps.Log.Debug("RefusalNotRead", "Error", err)
+	}
+	return g.refuse(stream, work.head, refusal{outcome: answerer.OutcomeNotRun, reason: reason, arrived: true})
+}
+
+// noteFailure tells the breaker of a failure of the server. The lock is held.
+func (g *Guard) noteFailure(now clocker.Instant, work *task, reason string) {
+	if g.breaker.Bad(now) {
+		g.deps.Log.Info("BreakerOpened", "Request", work.head.RequestId, "Service", work.head.Service,
+			"Run", work.run, "Reason", reason)
+	}
 }
 
 // failed handles a request without an answer's head.
 func (g *Guard) failed(ctx context.Context, stream messenger.DRPCGuard_ForwardStream, work *task, cause error) error {
 	g.mu.Lock()
 	now := g.deps.Now()
+	delete(g.running, work.id)
 	censored := ctx.Err() != nil
 	g.controller.Detector().Finish(now, work.id, true, censored, work.origin)
 	if errors.Is(cause, deliverer.ErrNotSent) {
 		g.withdraw(work)
-		g.controller.Detector().Fault(work.origin)
+		if !censored {
+			g.controller.Detector().Fault(work.origin)
+			g.noteFailure(now, work, "ServerUnreachable")
+		}
 		g.mu.Unlock()
+		g.deps.Log.Info("Unreachable", "Request", work.head.RequestId, "Error", cause)
 		return g.refuse(stream, work.head, refusal{outcome: answerer.OutcomeNotRun, reason: "ServerUnreachable"})
 	}
 	g.finish(now, work, dispatcher.StateBroken, 0, nil)
-	g.observe(now, false)
+	if !censored {
+		g.noteFailure(now, work, "NoAnswer")
+		g.observe(now, false)
+	}
 	g.mu.Unlock()
-	g.deps.Log.Info("Broken", "Request", fmt.Sprintf("%x", work.head.Attempt), "Error", cause)
+	g.deps.Log.Info("Broken", "Request", work.head.RequestId, "Cancelled", censored, "Error", cause)
 	return g.unknown(stream, "NoAnswer")
 }
 
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/foxtailhall/foxtailhall/coordination/breaker"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/controller"
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
@@ -18,6 +19,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
 	"github.com/foxtailhall/foxtailhall/coordination/limiter"
 	"github.com/foxtailhall/foxtailhall/coordination/locker"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/transport/deliverer"
 )
@@ -33,12 +35,46 @@
 
 // Announcement is what a backend server says of itself.
 type Announcement struct {
-	// BackendServer names the BackendServer object that describes the server.
-	BackendServer string `json:"BackendServer" yaml:"BackendServer" validate:"required,max=100"`
+	// BackendServer names the BackendServer object that describes the server. It
+	// is empty if the server describes itself by Service, Slots and ColdStart.
+	BackendServer string `json:"BackendServer" yaml:"BackendServer" validate:"required_without=Service,max=100"`
 	// Address is the IP:port where the server takes HTTP requests.
 	Address string `json:"Address" yaml:"Address" validate:"required,hostname_port"`
 	// Run is unique to one run of the server.
 	Run string `json:"Run" yaml:"Run" validate:"required,max=100"`
+	// Service names the Service object that the server belongs to.
+	Service string `json:"Service,omitempty" yaml:"Service" validate:"max=100"`
+	// Slots is the number of requests that the server works on at once.
+	Slots uint32 `json:"Slots,omitempty" yaml:"Slots" validate:"max=10000"`
+	// ColdStart is how long the server will still be slow after its start.
+	ColdStart time.Duration `json:"ColdStart,omitempty" yaml:"ColdStart"`
+	// StartedMs is the Unix time in ms of the run's start. It tells runs of one name apart.
+	StartedMs int64 `json:"StartedMs,omitempty" yaml:"StartedMs"`
+}
+
+// described returns the object that describes the server.
+func (a Announcement) described(catalog cataloger.Catalog) (cataloger.BackendServer, bool) {
+	if a.BackendServer != "" {
+		return catalog.Server(a.BackendServer)
+	}
+	return cataloger.BackendServer{
+		Kind:       cataloger.KindBackendServer,
+		Name:       a.Service,
+		Service:    a.Service,
+		Slots:      a.Slots,
+		QueueSlots: queuePerSlot * a.Slots,
+		ColdStart:  a.ColdStart,
+	}, true
+}
+
+// queuePerSlot is the queue of a server that describes itself, per slot. What
+// can't make its deadline is refused long before.
+const queuePerSlot = 8
+
+// same tells whether two announcements are of one run.
+func (a Announcement) same(other Announcement) bool {
+	return a.Run == other.Run && a.StartedMs == other.StartedMs && a.Address == other.Address &&
+		a.BackendServer == other.BackendServer && a.Service == other.Service
 }
 
 // Dependencies are what a guard needs of its process.
@@ -51,6 +87,8 @@
 	// Changed is called, without locks held, after the state or the slots changed.
 	Changed func()
 	Limits  dispatcher.Limits
+	// Servers reads and writes the header fields of the backend server.
+	Servers interpreter.Servers
 	// Lifetime is that of an ejection round.
 	Lifetime time.Duration
 }
@@ -64,11 +102,16 @@
 	limiter    *limiter.Limiter
 	dispatcher *dispatcher.Dispatcher
 	controller *controller.Controller
-	announced  Announcement
-	heard      clocker.Instant
-	service    cataloger.Service
-	server     cataloger.BackendServer
-	policy     cataloger.Policy
+	breaker    *breaker.Breaker
+	// usual holds the usual service times by route.
+	usual *limiter.Usual
+	// running holds the requests that are at the backend server.
+	running   map[uint64]*task
+	announced Announcement
+	heard     clocker.Instant
+	service   cataloger.Service
+	server    cataloger.BackendServer
+	policy    cataloger.Policy
 	// waiters holds a channel for each queued request; true starts it.
 	waiters map[uint64]chan bool
 	nextID  uint64
@@ -84,6 +127,9 @@
 		limiter:    limiter.New(0, 0),
 		dispatcher: dispatcher.New(deps.Limits),
 		controller: controller.New(deps.Incarnation, deps.Now(), deps.Lifetime),
+		breaker:    breaker.New(0),
+		usual:      limiter.NewUsual(),
+		running:    map[uint64]*task{},
 		waiters:    map[uint64]chan bool{},
 	}
 }
@@ -117,36 +163,64 @@
 		return false, ErrLeaving
 	}
 	catalog := g.deps.Catalog()
-	server, ok := catalog.Server(announcement.BackendServer)
+	server, ok := announcement.described(catalog)
 	if !ok {
 		return false, ErrNoObject
 	}
 	now := g.deps.Now()
 	g.heard = now
-	renewed := g.controller.Present() && announcement == g.announced
+	renewed := g.controller.Present() && announcement.same(g.announced)
+	if renewed && announcement.BackendServer == "" {
+		server.ColdStart = g.server.ColdStart
+	}
 	g.announced = announcement
 	changed := g.adopt(catalog, server)
 	if renewed {
 		return changed, nil
 	}
 	g.deliverer.SetAddress(announcement.Address)
+	g.breaker = breaker.New(g.policy.FailurePause)
 	if err := g.controller.Announce(now, g.profile()); err != nil {
 		return false, fmt.Errorf("starting a new run: %w", err)
 	}
-	g.deps.Log.Info("Announced", "BackendServer", server.Name, "Service", server.Service,
-		"Address", announcement.Address, "Slots", server.Slots)
+	g.deps.Log.Info("Announced", "BackendServer", server.Name, "Service", server.Service, "Run", announcement.Run,
+		"Address", announcement.Address, "Slots", server.Slots, "ColdStart", server.ColdStart)
 	return true, nil
 }
 
+// Retire takes the word of a run of the backend server that it leaves. The
+// guard gives it no new work from then on; what runs goes on to its end.
+func (g *Guard) Retire(run string) error {
+	g.mu.Lock()
+	if !g.controller.Present() || g.announced.Run != run {
+		g.mu.Unlock()
+		return nil
+	}
+	err := g.controller.Lose(g.deps.Now())
+	g.logChanges("Retired")
+	g.refuseWaiting()
+	g.deps.Log.Info("Retired", "Service", g.service.Name, "Run", run, "InFlight", g.limiter.InFlight())
+	g.mu.Unlock()
+	g.deps.Changed()
+	if err != nil {
+		return fmt.Errorf("retiring the run %q: %w", run, err)
+	}
+	return nil
+}
+
 // adopt takes the objects of the version in force and tells whether they differ.
 func (g *Guard) adopt(catalog cataloger.Catalog, server cataloger.BackendServer) bool {
-	service, _ := catalog.Service(server.Service)
+	service, ok := catalog.Service(server.Service)
+	if !ok {
+		service = cataloger.Service{Name: server.Service}
+	}
 	policy, _ := catalog.PolicyOf(server.Service)
 	if server == g.server && service == g.service && policy == g.policy {
 		return false
 	}
 	g.server, g.service, g.policy = server, service, policy
 	g.limiter.Resize(int(server.Slots), int(server.QueueSlots))
+	g.breaker.SetPause(policy.FailurePause)
 	g.controller.Update(g.profile())
 	return true
 }
@@ -167,7 +241,10 @@
 func (g *Guard) Configure() {
 	g.mu.Lock()
 	catalog := g.deps.Catalog()
-	server, ok := catalog.Server(g.announced.BackendServer)
+	server, ok := g.announced.described(catalog)
+	if g.announced.BackendServer == "" {
+		server.ColdStart = g.server.ColdStart
+	}
 	changed := g.controller.Present() && ok && g.adopt(catalog, server)
 	g.mu.Unlock()
 	if changed {
@@ -208,12 +285,33 @@
 
 func (g *Guard) tick(healthySlots func(service string) uint32) error {
 	now := g.deps.Now()
+	g.noteOverdue(now)
 	if g.controller.Present() && !g.controller.Leaving() && now.Since(g.heard) > announceLifetime {
 		return g.controller.Lose(now)
 	}
 	return g.controller.Tick(now, healthySlots(g.controller.Service()))
 }
 
+const (
+	// overdueFactor is how many times its usual time an answer may take before
+	// the server counts as failing.
+	overdueFactor = 4
+	// leastOverdue is the least time of an overdue answer.
+	leastOverdue = time.Second
+)
+
+// noteOverdue tells the breaker of requests that take much longer than is usual.
+func (g *Guard) noteOverdue(now clocker.Instant) {
+	for _, work := range g.running {
+		usual := g.usual.Time(work.head.Route)
+		if work.overdue || usual == 0 || now.Since(work.sent) < max(leastOverdue, overdueFactor*usual) {
+			continue
+		}
+		work.overdue = true
+		g.noteFailure(now, work, "Overdue")
+	}
+}
+
 // Lock answers a lock request of an ejector.
 func (g *Guard) Lock(term locker.Term, service string) ejector.Answer {
 	g.mu.Lock()
--- a/transport/guard/upload.go
+++ b/transport/guard/upload.go
@@ -15,11 +15,30 @@
 	// left is the number of bytes still due, -1 if the length was not told.
 	left  int64
 	ended bool
+	// abandoned is set if a prefetch still reads the stream.
+	abandoned bool
 }
 
+// prefetch waits for the first frame.
+func (u *upload) prefetch() error {
+	frame, err := u.stream.Recv()
+	if err != nil {
+		return fmt.Errorf("awaiting the release: %w", err)
+	}
+	u.rest = frame.GetData()
+	u.ended = frame.GetEnd()
+	return nil
+}
+
+// abandon leaves the stream to a prefetch that is still waiting.
+func (u *upload) abandon() { u.abandoned = true }
+
 // Read returns io.EOF only after the frame that ends the body.
 func (u *upload) Read(buffer []byte) (int, error) {
 	for len(u.rest) == 0 {
+		if u.ended && u.left > 0 {
+			return 0, errCutShort
+		}
 		if u.ended || u.left == 0 {
 			return 0, io.EOF
 		}
@@ -29,9 +48,6 @@
 		}
 		u.rest = frame.GetData()
 		u.ended = frame.GetEnd()
-		if u.ended && u.left > 0 {
-			return 0, errCutShort
-		}
 	}
 	n := copy(buffer, u.rest)
 	u.rest = u.rest[n:]
@@ -44,7 +60,7 @@
 // drain reads on to the frame that ends the body. Frames that nobody reads
 // would keep the connection from carrying another call.
 func (u *upload) drain() {
-	for !u.ended {
+	for !u.ended && !u.abandoned {
 		frame, err := u.stream.Recv()
 		if err != nil {
 			return
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -40,7 +40,7 @@
 	attempt dispatcher.AttemptID
 	issued  int64
 	reason  string
-	// verdict is set for refusals and unknown outcomes.
+	// verdict is set for refusals and unknown outcomes of the guard.
 	verdict *messenger.Verdict
 	head    *messenger.AnswerHead
 	// first holds the body's first bytes, the whole body if ended.
@@ -49,22 +49,42 @@
 	stream messenger.DRPCGuard_ForwardClient
 	cancel context.CancelFunc
 	took   time.Duration
-	// touched is set once bytes of a long request body were read.
+	// heard is set once the guard has answered anything.
+	heard bool
+	// released is set once the guard was allowed to run the attempt.
+	released bool
+	// touched is set once bytes of a body that can't be kept were read.
 	touched bool
 }
 
 // bad tells whether an idempotent request is worth another try.
-func (r result) bad() bool {
+func (r *result) bad() bool {
 	return r.kind != resultAnswered || r.head.Status >= serverErrorStatus
 }
 
-const serverErrorStatus = 500
+// arrived tells whether the attempt may have reached the backend server.
+func (r *result) arrived() bool {
+	if r.kind == resultRefused {
+		return r.verdict != nil && r.verdict.Arrived
+	}
+	return true
+}
 
-var (
-	errCutOff   = eris.New("answer was cut off")
-	errUnframed = eris.New("guard sent an unexpected frame")
+// soft tells whether the server refused for want of a slot or in doubt of its
+// own health, and may be asked again with more weight.
+func (r *result) soft() bool {
+	return r.kind == resultRefused && r.verdict != nil && (r.verdict.Doubtful || r.verdict.Busy)
+}
+
+const (
+	serverErrorStatus = 500
+	// admissionTimeout is how long a guard may take to its first word. It covers
+	// a lost packet's retransmission and a throttled core.
+	admissionTimeout = 500 * time.Millisecond
 )
 
+var errUnframed = eris.New("guard sent an unexpected frame")
+
 // pick chooses the server of the next attempt and logs nothing.
 func (r *Router) pick(request *call, tried []uint64) (tracker.Entry, picker.Reason) {
 	lane := r.deps.Lanes.Lane(request.service.Name)
@@ -86,14 +106,14 @@
 }
 
 // send runs one attempt at a server until its answer has begun or it has failed.
-func (r *Router) send(ctx context.Context, request *call, entry tracker.Entry, reason string) result {
+func (r *Router) send(ctx context.Context, request *call, entry tracker.Entry, reason string, insist bool) result {
 	request.attempts++
-	r.logRouted(request, entry, reason)
+	r.logRouted(request, entry, reason, insist)
 	ctx, cancel := context.WithCancel(ctx)
 	began := r.deps.Now()
 	outcome := result{entry: entry, cancel: cancel, issued: began.UnixMilli(), attempt: r.newAttempt()}
 	entry.Server.Begin(began.Mono)
-	r.exchange(ctx, request, &outcome)
+	r.exchange(ctx, request, &outcome, insist)
 	entry.Server.End()
 	now := r.deps.Now()
 	outcome.took = now.Since(began)
@@ -104,11 +124,12 @@
 	return outcome
 }
 
-func (r *Router) logRouted(request *call, entry tracker.Entry, reason string) {
+func (r *Router) logRouted(request *call, entry tracker.Entry, reason string, insist bool) {
 	r.deps.Meter.Attempt(request.service.Name, reason)
 	r.deps.Log.Info("Routed", "Request", request.id, "Route", request.route.Name,
 		"Service", request.service.Name, "Attempt", request.attempts, "Server", entry.Member.Address,
-		"Zone", entry.Member.Zone, "Reason", reason, "Load", entry.Server.Load())
+		"Zone", entry.Member.Zone, "Reason", reason, "Insist", insist, "Load", entry.Server.Load(r.deps.Now().Mono),
+		"MemberVersion", entry.Member.Version)
 }
 
 func (r *Router) newAttempt() dispatcher.AttemptID {
@@ -118,16 +139,37 @@
 	return id
 }
 
-// exchange speaks with the guard and fills in how the attempt went.
-func (r *Router) exchange(ctx context.Context, request *call, outcome *result) {
+// exchange speaks with the guard and fills in how the attempt went. An attempt
+// that was offered and not released has not run and never will.
+func (r *Router) exchange(ctx context.Context, request *call, outcome *result, insist bool) {
+	ctx, silence := context.WithCancel(ctx)
+	outcome.cancel = joined(outcome.cancel, silence)
+	watch := time.AfterFunc(admissionTimeout, silence)
+	defer watch.Stop()
 	outcome.kind = resultLost
+	r.converse(ctx, request, outcome, insist, watch)
+	if outcome.kind == resultLost && !outcome.released {
+		outcome.kind = resultRefused
+	}
+}
+
+func joined(first, second context.CancelFunc) context.CancelFunc {
+	return func() {
+		first()
+		second()
+	}
+}
+
+func (r *Router) converse(ctx context.Context, request *call, outcome *result, insist bool, watch *time.Timer) {
 	stream, err := r.deps.Guard(ctx, outcome.entry.Member.Address).Forward(ctx)
 	if err != nil {
 		outcome.reason = "Connect"
 		return
 	}
 	outcome.stream = stream
-	if err := stream.Send(r.requestFrame(request, outcome)); err != nil {
+	head := r.requestHead(request, outcome, insist)
+	outcome.released = !head.Offer
+	if err := stream.Send(&messenger.Frame{Part: &messenger.Frame_Request{Request: head}}); err != nil {
 		outcome.reason = "Send"
 		return
 	}
@@ -137,16 +179,21 @@
 			outcome.reason = "Receive"
 			return
 		}
+		watch.Stop()
+		outcome.heard = true
 		if verdict := frame.GetVerdict(); verdict != nil {
 			if verdict.Admitted {
-				r.upload(request, outcome)
+				r.release(request, outcome, head)
+				continue
+			}
+			if verdict.Queued {
 				continue
 			}
 			outcome.take(verdict)
 			return
 		}
-		if head := frame.GetAnswer(); head != nil {
-			outcome.head = head
+		if answer := frame.GetAnswer(); answer != nil {
+			outcome.head = answer
 			outcome.readFirst()
 			return
 		}
@@ -155,7 +202,7 @@
 	}
 }
 
-func (r *Router) requestFrame(request *call, outcome *result) *messenger.Frame {
+func (r *Router) requestHead(request *call, outcome *result, insist bool) *messenger.RequestHead {
 	left := -r.deps.Now().Since(request.deadline())
 	head := &messenger.RequestHead{
 		Attempt:     outcome.attempt[:],
@@ -171,25 +218,52 @@
 		Service:     request.service.Name,
 		Caller:      request.caller,
 		Route:       request.routeHash,
+		RequestId:   request.id,
+		Origin:      r.deps.Origin(),
+		Rank:        request.route.Priority,
+		Insist:      insist,
+		Earlier:     uint32(request.arrivals),
+		Offer:       !request.idempotent,
 	}
-	if request.long == nil {
+	head.BodyFollows = head.Offer || request.long != nil || len(request.body) > inlineBodyBytes
+	if !head.BodyFollows {
 		head.Body = request.body
-	} else {
-		head.BodyFollows = true
 	}
-	return &messenger.Frame{Part: &messenger.Frame_Request{Request: head}}
+	return head
 }
 
-// upload streams a long body. A failure ends the stream, which the guard sees.
-func (r *Router) upload(request *call, outcome *result) {
-	outcome.touched = true
-	err := copyBody(outcome.stream, request.long)
-	if err == nil {
-		request.unread = false
+// release sends what the guard waits for after it has admitted the attempt. A
+// failure ends the stream, which the guard sees.
+func (r *Router) release(request *call, outcome *result, head *messenger.RequestHead) {
+	outcome.released = true
+	if !head.BodyFollows {
 		return
 	}
-	r.deps.Log.Info("UploadBroken", "Request", request.id, "Error", err)
-	outcome.cancel()
+	var err error
+	if request.long != nil {
+		outcome.touched = true
+		err = copyBody(outcome.stream, request.long)
+	} else {
+		err = sendBody(outcome.stream, request.body)
+	}
+	if err != nil {
+		r.deps.Log.Info("UploadBroken", "Request", request.id, "Error", err)
+		if outcome.touched {
+			outcome.cancel()
+		}
+	}
+}
+
+func sendBody(stream messenger.DRPCGuard_ForwardClient, body []byte) error {
+	for len(body) > 0 {
+		n := min(len(body), chunkBytes)
+		data := &messenger.Frame{Part: &messenger.Frame_Data{Data: body[:n]}}
+		if err := stream.Send(data); err != nil {
+			return fmt.Errorf("sending the body: %w", err)
+		}
+		body = body[n:]
+	}
+	return endBody(stream)
 }
 
 func copyBody(stream messenger.DRPCGuard_ForwardClient, body io.Reader) error {
@@ -250,17 +324,22 @@
 			return
 		}
 		r.first = append(r.first, frame.GetData()...)
-		if len(r.first) >= ShortBodyBytes || r.head.Length > ShortBodyBytes {
+		if len(r.first) >= answerHoldBytes || r.head.Length > answerHoldBytes {
 			r.kind = resultAnswered
 			return
 		}
 	}
 }
 
+// answerHoldBytes is how much of an answer is read before the caller gets any.
+const answerHoldBytes = 64 << 10
+
 // learn updates the router's view of the server.
 func (r *Router) learn(ctx context.Context, request *call, outcome *result, now time.Duration) {
 	server := outcome.entry.Server
-	lane := r.deps.Lanes.Lane(request.service.Name)
+	if outcome.arrived() {
+		request.arrivals++
+	}
 	switch outcome.kind {
 	case resultAnswered:
 		took := outcome.took
@@ -268,15 +347,12 @@
 			took += badAnswerPenalty
 		}
 		server.Answered(now, took, int64(outcome.head.InFlight+outcome.head.Queued))
-		if lane != nil && request.long == nil {
+		if lane := r.deps.Lanes.Lane(request.service.Name); lane != nil && request.long == nil {
 			lane.Pool.Typical.Observe(outcome.took)
-			lane.Late.Observe(outcome.took)
+			lane.Late.Observe(request.routeHash, outcome.took)
 		}
 	case resultRefused:
-		server.Heard(now)
-		if outcome.verdict.Leaving || outcome.verdict.Ejected {
-			server.Refused(now)
-		}
+		r.learnRefusal(ctx, outcome, now)
 	case resultUnknown, resultRan:
 		server.Heard(now)
 		server.Observe(outcome.took + badAnswerPenalty)
@@ -287,6 +363,25 @@
 	}
 }
 
+func (r *Router) learnRefusal(ctx context.Context, outcome *result, now time.Duration) {
+	server := outcome.entry.Server
+	if !outcome.heard {
+		if ctx.Err() == nil {
+			server.Failed(now)
+		}
+		return
+	}
+	server.Heard(now)
+	verdict := outcome.verdict
+	switch {
+	case verdict == nil:
+	case verdict.Leaving || verdict.Ejected || verdict.Doubtful:
+		server.Refused(now)
+	case verdict.Load > 0:
+		server.Busy(now, int64(verdict.Load))
+	}
+}
+
 // badAnswerPenalty is added to the time of a bad answer, so that a server that
 // fails fast does not look quick.
 const badAnswerPenalty = 500 * time.Millisecond
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -1,22 +1,21 @@
 package router
 
 import (
-	"bytes"
-	"errors"
-	"io"
-	"net"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
-	"github.com/rotisserie/eris"
 
 	"github.com/foxtailhall/foxtailhall/coordination/claimer"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
-	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/transport/acceptor"
 )
 
 // call is one request of a caller.
@@ -26,11 +25,14 @@
 	patience time.Duration
 	method   string
 	uri      string
+	host     string
+	path     string
+	marks    interpreter.Marks
 	headers  []*messenger.Header
 	// body is the whole body if long is nil.
 	body []byte
 	// long reads a body too long to be kept. It can be read once.
-	long io.Reader
+	long *acceptor.Stream
 	// length is that of the body in bytes, -1 if it was not told.
 	length     int64
 	route      cataloger.Route
@@ -41,124 +43,146 @@
 	key        string
 	keyMs      int64
 	// bound is set if key is a bound key.
-	bound    claimer.BoundKey
-	caller   uint64
-	conn     net.Conn
+	bound  claimer.BoundKey
+	caller uint64
+	// attempts counts the guards that were asked.
 	attempts int
-	// unread is set while bytes of the body may still be on the connection.
-	unread bool
+	// arrivals counts the attempts that may have reached a backend server.
+	arrivals int
 }
 
-// deadline is when the caller's patience ends.
+// deadline is when the caller's patience or the route's time limit ends.
 func (c *call) deadline() clocker.Instant {
 	return c.began.Add(c.patience)
 }
 
-var errTooLong = eris.New("request body is longer than the service takes")
+// maxArrivals bounds the backend servers that may run the request.
+func (c *call) maxArrivals() int {
+	if c.route.MaxAttempts > 0 {
+		return c.route.MaxAttempts
+	}
+	return retrier.MaxAttempts
+}
 
-// readBody keeps a short body, and leaves a longer one to be read on the way.
-func (c *call) readBody(ctx *app.RequestContext) *refusal {
-	c.length = int64(ctx.Request.Header.ContentLength())
-	if c.length > c.service.MaxBodyBytes {
-		return notRun(consts.StatusRequestEntityTooLarge, "BodyTooLarge")
+// read turns an HTTP request into a call, or tells why it is refused.
+func (r *Router) read(incoming *acceptor.Request) (*call, *refusal) {
+	header := incoming.Header
+	request := &call{
+		began:  r.deps.Now(),
+		method: string(header.Method()),
+		uri:    string(header.RequestURI()),
+		body:   incoming.Body,
+		long:   incoming.Stream,
+		length: incoming.Length,
+		caller: hashOf(incoming.Remote),
 	}
-	stream := ctx.RequestBodyStream()
-	if c.length == 0 || c.length < -1 || stream == nil {
-		c.length = 0
-		c.unread = false
-		return nil
+	request.host, _, _ = strings.Cut(string(header.Host()), ":")
+	request.path, _, _ = strings.Cut(request.uri, "?")
+	marks, err := r.deps.Callers.Read(header)
+	request.marks, request.id = marks, marks.ID
+	if request.id == "" {
+		request.id = strconv.FormatUint(r.deps.Random(), 16) + strconv.FormatUint(r.deps.Random(), 16)
 	}
-	first := make([]byte, firstSize(c.length))
-	n, err := readUpTo(limited(stream, c.length), first)
-	c.body = first[:n]
-	switch {
-	case int64(n) == c.length, c.length < 0 && errors.Is(err, io.EOF):
-		return c.keepShort()
-	case err != nil:
-		return notRun(consts.StatusBadRequest, "HalfRequest")
-	}
-	rest := io.MultiReader(bytes.NewReader(c.body), limited(stream, c.rest(n)))
-	c.long = &boundedReader{reader: rest, left: c.service.MaxBodyBytes}
-	c.body = nil
-	return nil
+	if err != nil {
+		return request, notRun(consts.StatusBadRequest, err.Error())
+	}
+	request.headers = r.headersOf(incoming, header)
+	return request, nil
 }
 
-func (c *call) keepShort() *refusal {
-	c.unread = false
-	c.length = int64(len(c.body))
-	if c.length > c.service.MaxBodyBytes {
+// admit finds the route and checks the request against it.
+func (r *Router) admit(request *call) *refusal {
+	if !r.deps.Ready() {
+		return notRun(consts.StatusServiceUnavailable, "NoConfiguration")
+	}
+	catalog := r.deps.Catalog()
+	route, ok := catalog.Match(request.host, request.path)
+	if !ok {
+		return notRun(consts.StatusNotFound, "UnknownRoute")
+	}
+	request.route = route
+	request.routeHash = hashOf(route.Name)
+	request.service, _ = catalog.Service(route.Pick(r.point()))
+	request.policy, _ = catalog.Policy(request.service.Policy)
+	if request.length > request.service.MaxBodyBytes {
 		return notRun(consts.StatusRequestEntityTooLarge, "BodyTooLarge")
 	}
-	return nil
+	request.patience = patienceOf(request)
+	request.idempotent = idempotent(request)
+	return r.admitKey(request)
 }
 
-// readUpTo fills the buffer and returns the reader's own error if it ends before.
-func readUpTo(reader io.Reader, buffer []byte) (int, error) {
-	n := 0
-	for n < len(buffer) {
-		read, err := reader.Read(buffer[n:])
-		n += read
-		if err != nil {
-			return n, err //nolint:wrapcheck // io.Reader returns io.EOF as it is
-		}
-	}
-	return n, nil
+// point returns a random number between 0 and 1.
+func (r *Router) point() float64 {
+	const mantissaBits = 53
+	return float64(r.deps.Random()>>(64-mantissaBits)) / (1 << mantissaBits)
 }
 
-func (c *call) rest(n int) int64 {
-	if c.length < 0 {
-		return -1
+// patienceOf is the caller's own deadline, else the service's, within the route's limit.
+func patienceOf(request *call) time.Duration {
+	patience := request.marks.Patience
+	if patience == 0 {
+		patience = request.service.Deadline
 	}
-	return c.length - int64(n)
-}
-
-func firstSize(length int64) int64 {
-	if length < 0 || length > ShortBodyBytes {
-		return ShortBodyBytes
+	if limit := request.route.TimeLimit; limit > 0 {
+		patience = min(patience, limit)
 	}
-	return length
+	return patience
 }
 
-// limited keeps a reader from running into the next request on the connection.
-func limited(reader io.Reader, length int64) io.Reader {
-	if length < 0 {
-		return reader
+// idempotent takes the caller's mark, else the route's, else that of the method.
+func idempotent(request *call) bool {
+	switch {
+	case request.marks.Key != "":
+		return false
+	case request.marks.Idempotent || request.marks.NonIdempotent:
+		return request.marks.Idempotent
+	case request.route.Idempotent || request.route.NonIdempotent:
+		return request.route.Idempotent
 	}
-	return io.LimitReader(reader, length)
-}
-
-// boundedReader fails once more than left bytes were read.
-type boundedReader struct {
-	reader io.Reader
-	left   int64
+	switch request.method {
+	case consts.MethodGet, consts.MethodHead, consts.MethodOptions, consts.MethodPut, consts.MethodDelete:
+		return true
+	}
+	return false
 }
 
-// Read returns errTooLong instead of bytes above the bound.
-func (b *boundedReader) Read(buffer []byte) (int, error) {
-	n, err := b.reader.Read(buffer)
-	b.left -= int64(n)
-	if b.left < 0 {
-		return 0, errTooLong
+func (r *Router) admitKey(request *call) *refusal {
+	request.key = request.marks.Key
+	if request.key == "" {
+		return nil
+	}
+	if len(request.key) > claimer.MaxKeyBytes {
+		return notRun(consts.StatusBadRequest, claimer.ErrKeyLong.Error())
+	}
+	var err error
+	if claimer.IsBound(request.key) {
+		request.bound, err = claimer.ParseBound(request.key)
+		request.keyMs = request.bound.IssuedMs
+	} else {
+		request.keyMs, err = claimer.TimeOf(request.key, request.marks.KeyTime)
 	}
-	return n, err //nolint:wrapcheck // io.Reader returns io.EOF as it is
+	if err == nil {
+		err = claimer.CheckAge(r.deps.Now().UnixMilli(), request.keyMs, r.deps.KeyLifetime)
+	}
+	if err != nil {
+		return notRun(consts.StatusBadRequest, err.Error())
+	}
+	return nil
 }
 
 // headersOf returns the fields that go on to the backend server.
-func headersOf(c *app.RequestContext, request *call) []*messenger.Header {
-	named := connectionTokens(string(c.GetHeader("Connection")))
+func (r *Router) headersOf(incoming *acceptor.Request, header *protocol.RequestHeader) []*messenger.Header {
+	named := connectionTokens(string(header.Peek(consts.HeaderConnection)))
 	var headers []*messenger.Header
-	c.Request.Header.VisitAll(func(name, value []byte) {
+	header.VisitAll(func(name, value []byte) {
 		lower := strings.ToLower(string(name))
-		if hopByHop(lower) || named[lower] {
+		if hopByHop(lower) || named[lower] || r.deps.Callers.Consumed(lower) {
 			return
 		}
 		headers = append(headers, &messenger.Header{Name: string(name), Value: string(value)})
 	})
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	if err == nil {
-		headers = append(headers, &messenger.Header{Name: "X-Forwarded-For", Value: host})
-	}
-	return append(headers, &messenger.Header{Name: answerer.HeaderRequestID, Value: request.id})
+	return append(headers, &messenger.Header{Name: "X-Forwarded-For", Value: incoming.Remote})
 }
 
 func connectionTokens(field string) map[string]bool {
@@ -169,13 +193,40 @@
 	return tokens
 }
 
-// hopByHop tells whether a field concerns one connection only or is replaced.
+// hopByHop tells whether a field concerns one connection only.
 func hopByHop(lower string) bool {
 	switch lower {
 	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
-		"upgrade", "content-length", "expect",
-		strings.ToLower(answerer.HeaderRequestID), strings.ToLower(answerer.HeaderServerDeadline):
+		"upgrade", "content-length", "expect":
 		return true
 	}
 	return false
 }
+
+// serveKey issues a bound key for a later request.
+func (r *Router) serveKey(request *call) *protocol.Response {
+	_, query, _ := strings.Cut(request.uri, "?")
+	values, err := url.ParseQuery(query)
+	if err != nil {
+		return r.refuse(request, *notRun(consts.StatusBadRequest, "MalformedQuery"))
+	}
+	route, ok := r.deps.Catalog().Match(request.host, values.Get("Path"))
+	if !ok {
+		return r.refuse(request, *notRun(consts.StatusNotFound, "UnknownRoute"))
+	}
+	request.service, _ = r.deps.Catalog().Service(route.Pick(r.point()))
+	entry, _ := r.pick(request, nil)
+	if entry.Server == nil {
+		return r.refuse(request, *notRun(consts.StatusServiceUnavailable, "NoBackendServer"))
+	}
+	key := claimer.BoundKey{
+		Guard:    entry.Member.Incarnation,
+		IssuedMs: r.deps.Now().UnixMilli(),
+		Random:   r.deps.Random(),
+	}
+	r.deps.Log.Info("KeyIssued", "Service", request.service.Name, "Server", entry.Member.Address)
+	response := &protocol.Response{}
+	response.Header.SetContentType("text/plain; charset=utf-8")
+	response.SetBodyString(key.String())
+	return response
+}
--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/foxtailhall/foxtailhall/coordination/claimer"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
-	"github.com/foxtailhall/foxtailhall/protocol/answerer"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
-	"github.com/foxtailhall/foxtailhall/transport/peeker"
 )
 
 // reply is what a caller gets: a begun answer or a refusal.
@@ -28,9 +25,6 @@
 func (r *Router) handle(parent context.Context, request *call) reply {
 	left := -r.deps.Now().Since(request.deadline())
 	ctx, cancel := context.WithTimeout(parent, left)
-	if request.conn != nil {
-		go watchCaller(ctx, request.conn, cancel)
-	}
 	lane := r.deps.Lanes.Lane(request.service.Name)
 	if lane != nil {
 		lane.Budget.First()
@@ -52,37 +46,8 @@
 	return r
 }
 
-// watchCaller cancels a request whose caller has closed the connection.
-func watchCaller(ctx context.Context, conn net.Conn, cancel context.CancelFunc) {
-	ticker := time.NewTicker(goneProbe)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if peeker.Peek(conn) == peeker.StateClosed {
-				cancel()
-				return
-			}
-		}
-	}
-}
-
-func unknown(ctx context.Context, reason string) *refusal {
-	status := consts.StatusBadGateway
-	if ctx.Err() != nil {
-		status = consts.StatusGatewayTimeout
-	}
-	return &refusal{status: status, outcome: answerer.OutcomeUnknown, reason: reason}
-}
-
-func ran(reason string) *refusal {
-	return &refusal{status: consts.StatusConflict, outcome: answerer.OutcomeRan, reason: reason}
-}
-
 // end classifies the end of an attempt.
-func (r result) end() retrier.End {
+func (r *result) end() retrier.End {
 	switch r.kind {
 	case resultAnswered:
 		if r.head.Status >= serverErrorStatus {
@@ -115,18 +80,20 @@
 }
 
 // handleOnce runs a non-idempotent request without a key. It is sent again only
-// after a refusal that fences the attempt before.
+// after an attempt that has not run and never will.
 func (r *Router) handleOnce(ctx context.Context, request *call, lane *Lane) (*result, *refusal) {
-	var tried []uint64
+	var servers search
+	last := result{kind: resultRefused, reason: "NoBackendServer"}
 	for {
-		entry, why := r.pick(request, tried)
+		entry, why, insist := servers.next(r, request)
 		if entry.Server == nil {
-			return nil, notRun(consts.StatusServiceUnavailable, "NoBackendServer")
+			return nil, notRun(consts.StatusServiceUnavailable, last.reason)
 		}
-		outcome := r.send(ctx, request, entry, why.String())
-		tried = append(tried, entry.Member.Incarnation)
-		more := len(tried) < retrier.MaxAttempts && !outcome.touched && ctx.Err() == nil
-		history := retrier.History{Kind: retrier.KindOnce, More: more && r.mayRetry(lane, outcome)}
+		outcome := r.send(ctx, request, entry, why.String(), insist)
+		servers.note(&outcome, insist)
+		last = outcome
+		more := !outcome.touched && ctx.Err() == nil
+		history := retrier.History{Kind: retrier.KindOnce, More: more && r.mayRetry(request, lane, &outcome, 0)}
 		step := history.AfterAttempt(outcome.end())
 		if step == retrier.StepResolve {
 			step = history.AfterResolve(r.resolve(ctx, request, outcome))
@@ -137,19 +104,24 @@
 	}
 }
 
-// mayRetry tells whether another attempt is allowed. One that was refused by a
-// leaving or ejected server costs nothing.
-func (r *Router) mayRetry(lane *Lane, outcome result) bool {
-	switch outcome.kind {
-	case resultAnswered, resultRan, resultUnknown:
-		if !outcome.bad() {
-			return false
-		}
-	case resultRefused:
-		if outcome.verdict.Leaving || outcome.verdict.Ejected {
-			return true
-		}
+// mayRetry tells whether another attempt is allowed beside those still pending.
+// It costs budget only if an earlier one has reached a backend server.
+func (r *Router) mayRetry(request *call, lane *Lane, outcome *result, pending int) bool {
+	if outcome.kind == resultAnswered && !outcome.bad() {
+		return false
 	}
+	if request.arrivals+pending == 0 {
+		return true
+	}
+	if request.arrivals+pending >= request.maxArrivals() {
+		return false
+	}
+	return r.takeBudget(lane)
+}
+
+// takeBudget uses one token of the service's budget and tells whether there was one.
+func (r *Router) takeBudget(lane *Lane) bool {
+	lane.Budget.Refill(r.deps.Now().Mono)
 	return lane.Budget.Take()
 }
 
@@ -165,7 +137,7 @@
 		if refused != nil {
 			return nil, refused
 		}
-		outcome := r.send(ctx, request, entry, "Key")
+		outcome := r.send(ctx, request, entry, "Key", true)
 		more := !outcome.touched && ctx.Err() == nil
 		history := retrier.History{Kind: retrier.KindKeyed, More: more, Ran: knownToRun}
 		step := history.AfterAttempt(outcome.end())
--- a/transport/router/lanes.go
+++ b/transport/router/lanes.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,11 +16,35 @@
 	Pool *tracker.Pool
 	// Budget and Late outlive all versions of the pool.
 	Budget *retrier.Budget
-	Late   *retrier.Quantile
+	Late   *LateTimes
 	// members is the roster's slice that Pool was built from.
 	members []registrar.Member
 }
 
+// LateTimes holds for each route the answer time after which a request is late.
+type LateTimes struct {
+	// routes holds a *retrier.Quantile by the hash of the route's name.
+	routes sync.Map
+}
+
+// Observe takes an answer time of a route.
+func (l *LateTimes) Observe(route uint64, took time.Duration) {
+	known, ok := l.routes.Load(route)
+	if !ok {
+		known, _ = l.routes.LoadOrStore(route, &retrier.Quantile{})
+	}
+	known.(*retrier.Quantile).Observe(took)
+}
+
+// Delay returns the late time of a route, 0 if it is not known.
+func (l *LateTimes) Delay(route uint64) time.Duration {
+	known, ok := l.routes.Load(route)
+	if !ok {
+		return 0
+	}
+	return known.(*retrier.Quantile).Delay()
+}
+
 // Lanes holds the lanes of all services, read by requests without locks.
 type Lanes struct {
 	current atomic.Pointer[map[string]*Lane]
@@ -44,31 +69,30 @@
 
 // Update replaces all lanes by those of a newer roster and catalog, at a
 // monotonic time. Only one goroutine may update.
-func (l *Lanes) Update(now time.Duration, roster registrar.Roster, catalog cataloger.Catalog) {
+func (l *Lanes) Update(
+	now time.Duration, roster registrar.Roster, catalog cataloger.Catalog, allowance func(cataloger.Policy) retrier.Allowance,
+) {
 	old := *l.current.Load()
 	next := make(map[string]*Lane, len(old))
 	for _, service := range roster.Services() {
-		next[service] = updated(old[service], now, roster.Pool(service), service, catalog)
+		policy, _ := catalog.PolicyOf(service)
+		next[service] = updated(old[service], now, roster.Pool(service))
+		next[service].Budget.SetAllowance(allowance(policy))
 	}
 	l.current.Store(&next)
 }
 
-func updated(
-	old *Lane, now time.Duration, members []registrar.Member, service string, catalog cataloger.Catalog,
-) *Lane {
-	policy, _ := catalog.PolicyOf(service)
+func updated(old *Lane, now time.Duration, members []registrar.Member) *Lane {
 	if old != nil && same(old.members, members) {
-		old.Budget.SetShare(policy.RetryShare)
 		return old
 	}
 	lane := &Lane{Pool: &tracker.Pool{Entries: make([]tracker.Entry, 0, len(members))}, members: members}
 	if old == nil {
-		lane.Budget = retrier.New(policy.RetryShare)
-		lane.Late = &retrier.Quantile{}
+		lane.Budget = retrier.New(0)
+		lane.Late = &LateTimes{}
 		lane.Pool.Typical = tracker.New(0, now, 0)
 	} else {
 		lane.Budget, lane.Late, lane.Pool.Typical = old.Budget, old.Late, old.Pool.Typical
-		lane.Budget.SetShare(policy.RetryShare)
 	}
 	for _, member := range members {
 		lane.Pool.Entries = append(lane.Pool.Entries, tracker.Entry{
--- a/transport/router/lanes_test.go
+++ b/transport/router/lanes_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/router"
@@ -29,14 +30,18 @@
 	return r
 }
 
+func allowance(policy cataloger.Policy) retrier.Allowance {
+	return retrier.Allowance{Share: policy.RetryShare, Burst: retrier.DefaultBurst}
+}
+
 func TestLanesKeepWhatTheyKnow(t *testing.T) {
 	lanes := router.NewLanes()
 	r := roster(2 * perService)
-	lanes.Update(time.Second, r, cataloger.New())
+	lanes.Update(time.Second, r, cataloger.New(), allowance)
 	first, second := lanes.Lane("service-0"), lanes.Lane("service-1")
 	known, _ := first.Pool.Find(1)
 	known.Server.Observe(time.Second)
-	lanes.Update(2*time.Second, r.WithMember(member(0).WithState(registrar.StateEjected).WithVersion(2)), cataloger.New())
+	lanes.Update(2*time.Second, r.WithMember(member(0).WithState(registrar.StateEjected).WithVersion(2)), cataloger.New(), allowance)
 	t.Run("ChangedServiceGetsTheNewState", func(t *testing.T) {
 		entry, ok := lanes.Lane("service-0").Pool.Find(1)
 		require.True(t, ok)
@@ -51,7 +56,7 @@
 		require.Same(t, second.Pool, lanes.Lane("service-1").Pool)
 	})
 	t.Run("ServiceWithoutServersIsGone", func(t *testing.T) {
-		lanes.Update(3*time.Second, roster(perService), cataloger.New())
+		lanes.Update(3*time.Second, roster(perService), cataloger.New(), allowance)
 		require.Nil(t, lanes.Lane("service-1"))
 	})
 }
@@ -62,11 +67,11 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			lanes := router.NewLanes()
 			r := roster(size)
-			lanes.Update(0, r, cataloger.New())
+			lanes.Update(0, r, cataloger.New(), allowance)
 			b.ResetTimer()
 			for i := range b.N {
 				r = r.WithMember(member(i % size).WithVersion(uint64(i + 2)))
-				lanes.Update(0, r, cataloger.New())
+				lanes.Update(0, r, cataloger.New(), allowance)
 			}
 		})
 	}
--- a/transport/router/race.go
+++ b/transport/router/race.go
@@ -12,10 +12,10 @@
 	router  *Router
 	lane    *Lane
 	request *call
-	results chan result
-	tried   []uint64
+	servers search
+	results chan entrant
 	pending int
-	// cancels ends each attempt that was launched.
+	// cancels ends each attempt that was launched, in order.
 	cancels []context.CancelFunc
 	// mayHaveRun is set by the first attempt that may have run.
 	mayHaveRun bool
@@ -26,6 +26,15 @@
 	reason   string
 }
 
+// entrant is the end of one attempt of a race.
+type entrant struct {
+	result
+	// index is the attempt's place in cancels.
+	index   int
+	insist  bool
+	request *call
+}
+
 // handleIdempotent runs a request that may run more than once: bad answers are
 // tried again, late ones are hedged, all within the retry budget.
 func (r *Router) handleIdempotent(ctx context.Context, request *call, lane *Lane) (*result, *refusal) {
@@ -33,7 +42,7 @@
 		router:  r,
 		lane:    lane,
 		request: request,
-		results: make(chan result, retrier.MaxAttempts),
+		results: make(chan entrant, maxAsked),
 		last:    retrier.StepNotRun,
 		reason:  "NoBackendServer",
 	}
@@ -44,16 +53,15 @@
 		select {
 		case outcome := <-contest.results:
 			if winner := contest.take(ctx, outcome); winner != nil {
-				contest.drop(winner)
+				contest.drop(outcome.index)
+				contest.dropFallback()
 				return winner, nil
 			}
 		case <-hedge.C:
-			if request.long == nil && lane.Budget.Take() {
-				contest.launch(ctx)
-			}
+			contest.hedge(ctx)
 		case <-ctx.Done():
-			contest.drop(nil)
-			return nil, unknown(ctx, "DeadlinePassed")
+			contest.drop(-1)
+			return contest.late(ctx)
 		}
 	}
 	if contest.fallback != nil {
@@ -62,56 +70,80 @@
 	return conclude(ctx, contest.last, &result{reason: contest.reason})
 }
 
-// hedgeDelay is the pool's own late time, or a share of the patience without hedging.
+// late ends a race whose deadline has passed or whose caller has gone.
+func (c *race) late(ctx context.Context) (*result, *refusal) {
+	if c.fallback != nil {
+		return c.fallback, nil
+	}
+	return nil, unknown(ctx, "DeadlinePassed")
+}
+
+// hedgeDelay is the route's own late time, or a share of the patience without hedging.
 func hedgeDelay(request *call, lane *Lane) time.Duration {
 	const patienceShare = 3
 	delay := request.patience / patienceShare
-	if late := lane.Late.Delay(); request.policy.Hedge && late > 0 {
+	if late := lane.Late.Delay(request.routeHash); request.policy.Hedge && late > 0 {
 		return min(delay, late)
 	}
 	return delay
 }
 
+// hedge starts a second attempt beside a late one.
+func (c *race) hedge(ctx context.Context) {
+	if c.request.long != nil || c.pending != 1 || c.request.arrivals+c.pending >= c.request.maxArrivals() {
+		return
+	}
+	if c.router.takeBudget(c.lane) {
+		c.launch(ctx)
+	}
+}
+
 // launch starts one more attempt and tells whether there was a server for it.
 func (c *race) launch(ctx context.Context) bool {
-	if len(c.tried) >= retrier.MaxAttempts || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return false
 	}
-	entry, why := c.router.pick(c.request, c.tried)
+	entry, why, insist := c.servers.next(c.router, c.request)
 	if entry.Server == nil {
 		return false
 	}
-	c.tried = append(c.tried, entry.Member.Incarnation)
+	if c.pending > 0 {
+		c.servers.spent = append(c.servers.spent, entry.Member.Incarnation)
+	}
 	c.pending++
 	ctx, cancel := context.WithCancel(ctx)
+	index := len(c.cancels)
 	c.cancels = append(c.cancels, cancel)
 	copied := *c.request
 	c.request.attempts++
 	go func() {
-		outcome := c.router.send(ctx, &copied, entry, why.String())
-		outcome.cancel = cancel
-		c.results <- outcome
+		outcome := c.router.send(ctx, &copied, entry, why.String(), insist)
+		outcome.cancel = joined(outcome.cancel, cancel)
+		c.results <- entrant{result: outcome, index: index, insist: insist, request: &copied}
 	}()
 	return true
 }
 
 // take handles the end of one attempt and returns it if it wins.
-func (c *race) take(ctx context.Context, outcome result) *result {
+func (c *race) take(ctx context.Context, outcome entrant) *result {
 	c.pending--
+	c.servers.note(&outcome.result, outcome.insist)
+	if outcome.arrived() {
+		c.request.arrivals++
+	}
 	end := outcome.end()
 	if end == retrier.EndAnswered {
-		return &outcome
+		return &outcome.result
 	}
 	c.reason = outcome.reason
 	if end == retrier.EndBadAnswer {
-		c.keepFallback(&outcome)
+		c.keepFallback(&outcome.result)
 	}
 	c.mayHaveRun = c.mayHaveRun || end != retrier.EndRefused
-	spent := outcome.touched || c.request.long != nil && end != retrier.EndRefused
-	more := !spent && len(c.tried) < retrier.MaxAttempts && ctx.Err() == nil
+	more := !outcome.touched && ctx.Err() == nil
 	history := retrier.History{
 		Kind:       retrier.KindIdempotent,
-		More:       more && c.router.mayRetry(c.lane, outcome),
+		More:       more && c.router.mayRetry(c.request, c.lane, &outcome.result, c.pending),
 		MayHaveRun: c.mayHaveRun,
 	}
 	c.last = history.AfterAttempt(end)
@@ -130,28 +162,26 @@
 	c.fallback = outcome
 }
 
-// drop ends all attempts but the winner.
-func (c *race) drop(winner *result) {
-	if c.fallback != nil && c.fallback != winner {
-		c.fallback.cancel()
-	}
-	pending := c.pending
-	cancels := c.cancels
-	results := c.results
-	keep := -1
-	if winner != nil {
-		for i, incarnation := range c.tried {
-			if incarnation == winner.entry.Member.Incarnation {
-				keep = i
-			}
-		}
-	}
-	for i, cancel := range cancels {
+// drop ends all attempts but the one at an index.
+func (c *race) drop(keep int) {
+	for i, cancel := range c.cancels {
 		if i != keep {
 			cancel()
 		}
 	}
-	for range pending {
-		go func() { (<-results).cancel() }()
+	pending, results := c.pending, c.results
+	if pending == 0 {
+		return
+	}
+	go func() {
+		for range pending {
+			(<-results).cancel()
+		}
+	}()
+}
+
+func (c *race) dropFallback() {
+	if c.fallback != nil {
+		c.fallback.cancel()
 	}
 }
--- a/transport/router/respond.go
+++ b/transport/router/respond.go
@@ -4,52 +4,120 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/rotisserie/eris"
 
 	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 )
 
-// respond sends the reply to the caller.
-func (r *Router) respond(c *app.RequestContext, request *call, reply reply) {
+var errCutOff = eris.New("answer was cut off")
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status  int
+	outcome answerer.Outcome
+	reason  string
+	// retryAfter is when a repeat may succeed; 0 says nothing about it.
+	retryAfter time.Duration
+}
+
+func notRun(status int, reason string) *refusal {
+	refused := &refusal{status: status, outcome: answerer.OutcomeNotRun, reason: reason}
+	if status == consts.StatusServiceUnavailable {
+		refused.retryAfter = defaultRetryAfter
+	}
+	return refused
+}
+
+// defaultRetryAfter is the pause asked for before a repeat of what has not run.
+const defaultRetryAfter = 500 * time.Millisecond
+
+func unknown(ctx context.Context, reason string) *refusal {
+	status := consts.StatusBadGateway
+	if ctx.Err() != nil {
+		status = consts.StatusGatewayTimeout
+	}
+	return &refusal{status: status, outcome: answerer.OutcomeUnknown, reason: reason}
+}
+
+func ran(reason string) *refusal {
+	return &refusal{status: consts.StatusConflict, outcome: answerer.OutcomeRan, reason: reason}
+}
+
+// refuse returns the system's own answer.
+func (r *Router) refuse(request *call, refused refusal) *protocol.Response {
+	response := r.refusalOf(request.id, refused)
+	r.deps.Meter.Outcome(request.service.Name, refused.outcome.String())
+	took := r.deps.Now().Since(request.began)
+	r.deps.Meter.Latency(request.service.Name, took)
+	r.deps.Log.Info("Finished", "Request", request.id, "Route", request.route.Name, "Service", request.service.Name,
+		"Outcome", refused.outcome.String(), "Status", refused.status, "Reason", refused.reason,
+		"Version", r.deps.Catalog().Version(), "Attempts", request.attempts, "Arrivals", request.arrivals,
+		"TookUs", took.Microseconds())
+	return response
+}
+
+func (r *Router) refusalOf(id string, refused refusal) *protocol.Response {
+	response := &protocol.Response{}
+	response.SetStatusCode(refused.status)
+	r.deps.Callers.Refuse(&response.Header, interpreter.Word{
+		ID: id, Outcome: refused.outcome, Reason: refused.reason, RetryAfter: refused.retryAfter,
+	})
+	response.Header.SetContentType("text/plain; charset=utf-8")
+	response.SetBodyString(refused.outcome.String() + ": " + refused.reason + "\n")
+	return response
+}
+
+// malformed answers what could not be read as a request.
+func (r *Router) malformed(header *protocol.RequestHeader, status int, reason string) *protocol.Response {
+	request := &call{began: r.deps.Now()}
+	if header != nil {
+		marks, err := r.deps.Callers.Read(header)
+		if err != nil {
+			r.deps.Log.Debug("MarksUnread", "Error", err)
+		}
+		request.id = marks.ID
+	}
+	return r.refuse(request, *notRun(status, reason))
+}
+
+// respond returns what the caller gets.
+func (r *Router) respond(request *call, reply reply) *protocol.Response {
 	if reply.refused != nil {
-		r.refuse(c, request, *reply.refused)
 		reply.cancel()
-		r.active.Add(-1)
-		return
+		return r.refuse(request, *reply.refused)
 	}
 	answer := reply.answer
-	c.SetStatusCode(int(answer.head.Status))
+	response := &protocol.Response{}
+	response.Header.SetNoDefaultContentType(true)
+	response.SetStatusCode(int(answer.head.Status))
 	for _, header := range answer.head.Headers {
-		addHeader(c, header)
-	}
-	c.Response.Header.Set(answerer.HeaderOutcome, answerer.OutcomeAnswered.String())
-	c.Response.Header.Set(answerer.HeaderRequestID, request.id)
-	if answer.head.RepeatedAnswer {
-		c.Response.Header.Set(answerer.HeaderRepeated, "true")
-	}
-	if request.unread {
-		c.SetConnectionClose()
+		addHeader(response, header)
 	}
+	r.deps.Callers.Mark(&response.Header, request.id, answer.head.RepeatedAnswer)
 	body := &download{router: r, request: request, answer: answer, cancel: reply.cancel, rest: answer.first, ended: answer.ended}
 	if answer.ended {
-		c.Response.SetBody(answer.first)
+		response.SetBodyRaw(answer.first)
 		body.finish(true)
-		return
+		return response
 	}
-	c.Response.SetBodyStream(body, int(answer.head.Length))
+	response.SetBodyStream(body, int(answer.head.Length))
+	return response
 }
 
-func addHeader(c *app.RequestContext, header *messenger.Header) {
+func addHeader(response *protocol.Response, header *messenger.Header) {
 	switch header.Name {
 	case consts.HeaderContentType:
-		c.Response.Header.SetContentType(header.Value)
+		response.Header.SetContentType(header.Value)
 	case consts.HeaderServer:
-		c.Response.Header.SetServerBytes([]byte(header.Value))
+		response.Header.SetServerBytes([]byte(header.Value))
 	default:
-		c.Response.Header.Add(header.Name, header.Value)
+		response.Header.Add(header.Name, header.Value)
 	}
 }
 
@@ -61,14 +129,14 @@
 	cancel  context.CancelFunc
 	rest    []byte
 	ended   bool
-	// sent counts the bytes given to the HTTP server.
+	// sent counts the bytes given to the caller's connection.
 	sent int64
 	// done is set once the end was accounted for.
 	done bool
 }
 
 // Read returns io.EOF only at the answer's true end; any other error makes the
-// HTTP server break the transfer.
+// caller's connection break the transfer.
 func (d *download) Read(buffer []byte) (int, error) {
 	for len(d.rest) == 0 {
 		if d.ended {
@@ -117,8 +185,8 @@
 	took := r.deps.Now().Since(d.request.began)
 	r.deps.Meter.Outcome(d.request.service.Name, outcome)
 	r.deps.Meter.Latency(d.request.service.Name, took)
-	r.deps.Log.Info("Finished", "Request", d.request.id, "Service", d.request.service.Name,
-		"Outcome", outcome, "Status", d.answer.head.Status, "Attempts", d.request.attempts,
+	r.deps.Log.Info("Finished", "Request", d.request.id, "Route", d.request.route.Name, "Service", d.request.service.Name,
+		"Outcome", outcome, "Status", d.answer.head.Status, "Version", r.deps.Catalog().Version(),
+		"Attempts", d.request.attempts, "Arrivals", d.request.arrivals,
 		"Server", d.answer.entry.Member.Address, "TookUs", took.Microseconds())
-	r.active.Add(-1)
 }
--- a/transport/runner/configuration.go
+++ b/transport/runner/configuration.go
@@ -108,6 +108,10 @@
 	defer r.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	if r.deps.Source != nil {
+		r.fetchVersion(ctx, address, version)
+		return
+	}
 	reply, err := r.connector.Guard(ctx, address).Fetch(ctx, &messenger.FetchRequest{Have: r.catalog().Version()})
 	if err != nil {
 		r.deps.Log.Debug("FetchFailed", "Peer", address, "Error", err)
@@ -131,6 +135,10 @@
 	if catalog.Version() <= have {
 		return reply, nil
 	}
+	if r.deps.Source != nil {
+		reply.Objects = string(r.inForce.Load().text)
+		return reply, nil
+	}
 	objects, err := parser.Format(catalog.Objects())
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/transport/runner/enrolment.go
@@ -0,0 +1,50 @@
+package runner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+	"github.com/foxtailhall/foxtailhall/transport/guard"
+)
+
+// Enroll takes an announcement or a farewell of the backend server beside. It
+// returns once the guard acts by it.
+func (r *Runner) Enroll(entry enroller.Entry, coldStart time.Duration) error {
+	r.enrollMu.Lock()
+	defer r.enrollMu.Unlock()
+	next, verdict := r.enroller.WithEntry(entry)
+	r.enroller = next
+	switch verdict {
+	case enroller.VerdictAnnounced:
+		err := r.guard.Announce(guard.Announcement{
+			Address: entry.Address, Run: entry.ID, Service: entry.Service, Slots: entry.Slots,
+			ColdStart: coldStart, StartedMs: entry.StartedMs,
+		})
+		if err != nil {
+			return fmt.Errorf("enrolling %s: %w", entry.ID, err)
+		}
+	case enroller.VerdictRetired:
+		if err := r.guard.Retire(entry.ID); err != nil {
+			return fmt.Errorf("retiring %s: %w", entry.ID, err)
+		}
+	default:
+		r.deps.Log.Info("AnnouncementIgnored", "Server", entry.ID, "Verdict", verdict.String(),
+			"Address", entry.Address, "Sequence", entry.Sequence, "StartedMs", entry.StartedMs)
+	}
+	return nil
+}
+
+// joinTime is how long a starting process waits for others before it serves alone.
+const joinTime = 1500 * time.Millisecond
+
+// Ready tells whether callers may be sent to the process.
+func (r *Runner) Ready() bool {
+	if r.stopping.Load() || !r.configured() {
+		return false
+	}
+	return !r.alone() || r.now().Mono > joinTime
+}
+
+// configured tells whether a configuration is in force.
+func (r *Runner) configured() bool { return r.catalog().Version() > 0 }
--- a/transport/runner/evidence.go
+++ b/transport/runner/evidence.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/converter"
 )
@@ -72,7 +74,7 @@
 	policy, _ := catalog.PolicyOf(service)
 	params := ejector.Params{
 		Service:    service,
-		FloorSlots: found.FloorSlots,
+		FloorSlots: r.floorSlots(found),
 		Caution:    policy.Caution,
 		Lifetime:   ejector.RoundLifetime,
 	}
@@ -85,6 +87,17 @@
 	return decider, true
 }
 
+// floorSlots is the healthy capacity that no ejection of a service goes below.
+func (r *Runner) floorSlots(service cataloger.Service) uint32 {
+	var announced uint32
+	for _, member := range r.roster.Load().Pool(service.Name) {
+		if member.State.Live() {
+			announced += member.Slots
+		}
+	}
+	return max(service.FloorSlots, uint32(math.Ceil(service.FloorShare*float64(announced))))
+}
+
 func (r *Runner) tickEjectors(context.Context) {
 	r.ejectMu.Lock()
 	due := map[string][]ejector.Action{}
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -14,8 +14,11 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/transport/connector"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
@@ -75,6 +78,11 @@
 	group.Go(func() error { return every(ctx, reportPeriod, func() { r.reportOnce(ctx) }) })
 	group.Go(func() error { return every(ctx, ejectPeriod, func() { r.tickEjectors(ctx) }) })
 	group.Go(func() error { return every(ctx, probePeriod, func() { r.probeSilent(ctx) }) })
+	if r.deps.Source != nil {
+		group.Go(func() error { return r.followSource(ctx) })
+		group.Go(func() error { return r.enlistAtSource(ctx) })
+		return
+	}
 	group.Go(func() error { return every(ctx, copyPeriod, func() { r.copyHead(ctx) }) })
 	group.Go(func() error { return r.followConfiguration(ctx) })
 	group.Go(func() error { return r.claims.follow(ctx) })
@@ -94,7 +102,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-r.refresh:
-			r.lanes.Update(r.now().Mono, *r.roster.Load(), r.catalog())
+			r.lanes.Update(r.now().Mono, *r.roster.Load(), r.catalog(), r.allowance)
 		}
 	}
 }
@@ -106,21 +114,54 @@
 	}
 }
 
+// allowance is what this process may spend on repeats of one service. On a
+// platform the bound is the fleet's, shared out among all processes; one that
+// loses sight of others keeps to the largest number that it has known.
+func (r *Runner) allowance(policy cataloger.Policy) retrier.Allowance {
+	settings := r.deps.Settings
+	if r.deps.Source == nil {
+		return retrier.Allowance{Share: policy.RetryShare, Burst: retrier.DefaultBurst}
+	}
+	seen := int64(r.roster.Load().Len())
+	for most := r.mostSeen.Load(); seen > most && !r.mostSeen.CompareAndSwap(most, seen); most = r.mostSeen.Load() {
+		continue
+	}
+	fleet := retrier.Fleet{Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow}
+	return fleet.Allowance(int(max(r.mostSeen.Load(), fewestProcesses)))
+}
+
+// fewestProcesses is the least size of a fleet that a starting process assumes.
+const fewestProcesses = 20
+
 // stop is the planned stop: leave, drain, last word, then the callers.
 func (r *Runner) stop(ctx context.Context) {
 	r.deps.Log.Info("Stopping", "Incarnation", r.incarnation)
 	began := r.now()
 	r.stopping.Store(true)
+	if r.deps.Source != nil {
+		go r.delist(ctx)
+	}
 	if err := r.guard.Leave(ctx); err != nil {
 		r.deps.Log.Error("LeaveFailed", "Error", err)
 	}
-	r.writeClosure(ctx)
+	if r.deps.Source == nil {
+		r.writeClosure(ctx)
+	}
 	pause(ctx, r.deps.Settings.StopGrace-r.now().Since(began))
-	go func() { _ = r.router.Close() }()
-	for r.router.Active() > 0 && pause(ctx, drainPeriod) {
+	r.router.Drain()
+	for r.router.Active() > 0 && pause(ctx, drainPeriod) && !r.outOfTime(began) {
 		continue
 	}
 	r.farewell()
 	close(r.stopped)
 	pause(ctx, farewellTime)
 }
+
+// killMargin is kept between the end of a planned stop and the kill.
+const killMargin = 500 * time.Millisecond
+
+// outOfTime tells whether the process is about to be killed.
+func (r *Runner) outOfTime(began clocker.Instant) bool {
+	limit := r.deps.Settings.StopLimit
+	return limit > 0 && r.now().Since(began) > limit-killMargin
+}
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -16,8 +16,11 @@
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/publisher"
+	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/state/loader"
 	"github.com/foxtailhall/foxtailhall/state/parser"
@@ -39,6 +42,11 @@
 	Log      *slog.Logger
 	Parser   *parser.Parser
 	Meter    *meter.Meter
+	// Callers and Servers read and write the header fields of callers and backend servers.
+	Callers interpreter.Callers
+	Servers interpreter.Servers
+	// Source takes the log's place. It is nil on the log.
+	Source *Source
 }
 
 // Runner is one process.
@@ -53,9 +61,12 @@
 	admin       *administrator.Administrator
 	lanes       *router.Lanes
 
-	// folded is the configuration stream up to the last record read.
+	// folded is the configuration stream up to the last record read. It stays
+	// empty on a source.
 	folded atomic.Pointer[publisher.State]
-	// foldMu serialises the writers of folded.
+	// inForce is the version from the source. It stays empty on the log.
+	inForce atomic.Pointer[version]
+	// foldMu serialises the writers of folded and inForce.
 	foldMu sync.Mutex
 	// fetching is set while a version is fetched from a peer.
 	fetching atomic.Bool
@@ -72,6 +83,12 @@
 	ejectMu  sync.Mutex
 	ejectors map[string]*ejector.Ejector
 
+	// enrollMu guards enroller.
+	enrollMu sync.Mutex
+	enroller enroller.Enroller
+	// mostSeen is the largest number of processes that was known at once.
+	mostSeen atomic.Int64
+
 	claims *claims
 	// logReached is the monotonic time, in nanoseconds, of the last answer of the log.
 	logReached atomic.Int64
@@ -103,6 +120,8 @@
 	r.incarnation = uint64(r.started.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
 	folded := publisher.New(deps.Parser)
 	r.folded.Store(&folded)
+	r.inForce.Store(&version{catalog: cataloger.New()})
+	r.enroller = enroller.New(deps.Settings.ServerAddress)
 	r.claims = newClaims(r)
 	r.buildMembership()
 	r.buildGuard()
@@ -145,6 +164,7 @@
 		Catalog:     r.catalog,
 		Changed:     r.standingChanged,
 		Lifetime:    ejector.RoundLifetime,
+		Servers:     r.deps.Servers,
 		Limits: dispatcher.Limits{
 			Attempts:    r.deps.Settings.KeptAttempts,
 			Keys:        r.deps.Settings.KeptKeys,
@@ -164,10 +184,13 @@
 		Roster:      func() registrar.Roster { return *r.roster.Load() },
 		Lanes:       r.lanes,
 		Guard:       r.connector.Guard,
+		Callers:     r.deps.Callers,
+		Origin:      func() string { return r.deps.Settings.Service },
+		Ready:       func() bool { return r.deps.Source == nil || r.configured() },
+		KeyPath:     r.keyPath(),
 		Claim:       r.claims.Claim,
 		Binding:     r.claims.Binding,
 		Fate:        r.claims.Fate,
-		Stopping:    r.stopping.Load,
 		KeyLifetime: r.deps.Settings.KeyLifetime,
 		Meter:       r.deps.Meter,
 	})
@@ -201,7 +224,18 @@
 	return clocker.Instant{Mono: t.Sub(r.started), Wall: time.Duration(t.UnixNano())}
 }
 
+// keyPath is where callers fetch bound keys, on the log only.
+func (r *Runner) keyPath() string {
+	if r.deps.Source != nil {
+		return ""
+	}
+	return answerer.PathKey
+}
+
 func (r *Runner) catalog() cataloger.Catalog {
+	if r.deps.Source != nil {
+		return r.inForce.Load().catalog
+	}
 	return r.folded.Load().Catalog()
 }
 
@@ -221,6 +255,9 @@
 	if err != nil {
 		return fmt.Errorf("listening for other processes: %w", err)
 	}
+	if err := r.router.Listen(); err != nil {
+		return fmt.Errorf("starting: %w", err)
+	}
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, work := errgroup.WithContext(work)
@@ -246,9 +283,7 @@
 }
 
 func (r *Runner) closeServers() {
-	if err := r.router.Close(); err != nil {
-		r.deps.Log.Debug("CloseFailed", "Error", err)
-	}
+	r.router.Close()
 	if err := r.admin.Close(); err != nil {
 		r.deps.Log.Debug("CloseFailed", "Error", err)
 	}
--- a/transport/runner/status.go
+++ b/transport/runner/status.go
@@ -77,7 +77,7 @@
 			Zone:      entry.Member.Zone,
 			State:     entry.Member.State.String(),
 			Slots:     entry.Member.Slots,
-			Load:      entry.Server.Load(),
+			Load:      entry.Server.Load(now),
 			LatencyUs: int64(entry.Server.Latency()),
 			Avoided:   entry.Server.Avoided(now),
 		})
--- /dev/null
+++ b/transport/runner/versions.go
@@ -0,0 +1,139 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
+)
+
+// Source is where a process learns numbered, checked versions of the
+// configuration and the addresses of other processes, in place of the log.
+type Source struct {
+	// Follow calls take with each version that it gets until the context ends.
+	Follow func(ctx context.Context, take func(text []byte))
+	// Decode reads the text of a version.
+	Decode func(text []byte) (uint64, cataloger.Objects, error)
+	// Enlist leaves the address of the process for others, Delist takes it back.
+	Enlist func(ctx context.Context, address string) error
+	Delist func(ctx context.Context, address string) error
+	// Peers returns the addresses that were left.
+	Peers func(ctx context.Context) ([]string, error)
+}
+
+const (
+	// fetchDelay is how long a version known at a peer may still come from the source.
+	fetchDelay = 300 * time.Millisecond
+	// delistTimeout bounds the removal of the address at a planned stop.
+	delistTimeout = 500 * time.Millisecond
+	// peersRetry is the pause between two looks for other processes, and
+	// maxPeersRetry the longest, as it doubles.
+	peersRetry    = 300 * time.Millisecond
+	maxPeersRetry = 5 * time.Second
+)
+
+// version is one configuration in force, with the text that it was read from.
+type version struct {
+	catalog cataloger.Catalog
+	text    []byte
+}
+
+// takeVersion puts a version in force if it is newer.
+func (r *Runner) takeVersion(text []byte, from string) {
+	number, objects, err := r.deps.Source.Decode(text)
+	if err != nil {
+		r.deps.Log.Warn("VersionSkipped", "From", from, "Error", err)
+		return
+	}
+	r.foldMu.Lock()
+	defer r.foldMu.Unlock()
+	before := r.catalog().Version()
+	if number <= before {
+		r.deps.Log.Debug("VersionNotNewer", "From", from, "Version", number, "InForce", before)
+		return
+	}
+	catalog := cataloger.New().WithObjects(objects).WithVersion(number, from, -1)
+	if faults := catalog.Faults(); len(faults) > 0 {
+		r.deps.Log.Warn("VersionFaulty", "From", from, "Version", number, "Faults", len(faults), "First", faults[0].String())
+	}
+	r.inForce.Store(&version{catalog: catalog, text: text})
+	r.deps.Log.Info("VersionInForce", "Version", number, "Before", before, "From", from, "Objects", catalog.Len())
+	r.deps.Meter.Event("VersionInForce")
+	r.guard.Configure()
+	r.askRefresh()
+}
+
+// followSource takes versions for as long as the process runs.
+func (r *Runner) followSource(ctx context.Context) error {
+	r.deps.Source.Follow(ctx, func(text []byte) {
+		r.logReached.Store(int64(r.now().Mono))
+		r.takeVersion(text, "Store")
+	})
+	return nil
+}
+
+// fetchVersion takes a newer version from a peer, unless the source gives it first.
+func (r *Runner) fetchVersion(ctx context.Context, address string, number uint64) {
+	if r.catalog().Version() > 0 && !pause(ctx, fetchDelay) {
+		return
+	}
+	if number <= r.catalog().Version() {
+		return
+	}
+	reply, err := r.connector.Guard(ctx, address).Fetch(ctx, &messenger.FetchRequest{Have: r.catalog().Version()})
+	if err != nil {
+		r.deps.Log.Info("FetchFailed", "Peer", address, "Version", number, "Error", err)
+		return
+	}
+	if reply.Objects != "" {
+		r.takeVersion([]byte(reply.Objects), address)
+	}
+}
+
+// enlistAtSource leaves the own address and looks for others until both are done.
+func (r *Runner) enlistAtSource(ctx context.Context) error {
+	retry := peersRetry
+	enlisted := false
+	for ctx.Err() == nil {
+		if !enlisted {
+			err := r.deps.Source.Enlist(ctx, r.deps.Settings.PeerAddress)
+			enlisted = err == nil
+			r.logStore("Enlisted", err)
+		}
+		found := r.seedFromSource(ctx)
+		if enlisted && found && !r.alone() {
+			return nil
+		}
+		pause(ctx, retry)
+		retry = min(2*retry, maxPeersRetry)
+	}
+	return nil
+}
+
+func (r *Runner) seedFromSource(ctx context.Context) bool {
+	peers, err := r.deps.Source.Peers(ctx)
+	r.logStore("PeersListed", err)
+	if err != nil {
+		return false
+	}
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	r.gossip.AddSeeds(peers...)
+	return true
+}
+
+func (r *Runner) logStore(event string, err error) {
+	if err != nil {
+		r.deps.Log.Warn(event+"Failed", "Error", err)
+		return
+	}
+	r.deps.Log.Info(event)
+}
+
+// delist takes the own address back at a planned stop.
+func (r *Runner) delist(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, delistTimeout)
+	defer cancel()
+	r.logStore("Delisted", r.deps.Source.Delist(ctx, r.deps.Settings.PeerAddress))
+}
