--- a/commands/run.go
+++ b/commands/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -12,6 +13,9 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/foxtailhall/foxtailhall/platform"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
+	"github.com/foxtailhall/foxtailhall/state/loader"
 	"github.com/foxtailhall/foxtailhall/transport/meter"
 	"github.com/foxtailhall/foxtailhall/transport/runner"
 )
@@ -38,23 +42,73 @@
 		return fmt.Errorf("starting: %w", err)
 	}
 	routeLibraryLogs(log)
-	process, err := runner.New(runner.Dependencies{
-		Settings: settings,
-		Log:      log,
-		Parser:   c.deps.parser,
-		Meter:    meter.New(),
-	})
+	process, desk, err := c.build(settings, log)
 	if err != nil {
 		return fmt.Errorf("starting: %w", err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if desk != nil {
+		go c.serve(desk, log)
+		defer func() { _ = desk.Close() }()
+	}
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("running: %w", err)
 	}
 	return nil
 }
 
+// build returns the process and, on a platform, what the platform calls at it.
+func (c *runCommand) build(settings loader.Settings, log *slog.Logger) (*runner.Runner, *platform.Desk, error) {
+	deps := runner.Dependencies{
+		Settings: settings,
+		Log:      log,
+		Parser:   c.deps.parser,
+		Meter:    meter.New(),
+		Callers:  interpreter.OwnCallers(),
+		Servers:  interpreter.OwnServers(),
+	}
+	if settings.StoreAddress == "" {
+		process, err := runner.New(deps)
+		if err != nil {
+			return nil, nil, fmt.Errorf("building the process: %w", err)
+		}
+		return process, nil, nil
+	}
+	store, err := platform.NewStore(settings.StoreAddress)
+	if err != nil {
+		return nil, nil, fmt.Errorf("building the store's client: %w", err)
+	}
+	source := &platform.Source{Store: store, Log: log}
+	decoder := platform.Decoder{FloorShare: settings.FloorShare, RetryShare: settings.RetryShare}
+	deps.Callers, deps.Servers = platform.Callers(), platform.Servers()
+	deps.Source = &runner.Source{
+		Follow: source.Follow,
+		Decode: decoder.Decode,
+		Enlist: source.Enlist,
+		Delist: source.Delist,
+		Peers:  source.Peers,
+	}
+	process, err := runner.New(deps)
+	if err != nil {
+		return nil, nil, fmt.Errorf("building the process: %w", err)
+	}
+	desk := platform.NewDesk(settings.AnnounceAddress, settings.ReadyAddress, platform.DeskDependencies{
+		Log:    log,
+		Enroll: func(said platform.Announced) error { return process.Enroll(said.Entry, said.ColdStart) },
+		Ready:  process.Ready,
+	})
+	return process, desk, nil
+}
+
+// serve runs the desk and stops the process if its ports can't be had.
+func (c *runCommand) serve(desk *platform.Desk, log *slog.Logger) {
+	if err := desk.Run(); err != nil {
+		log.Error("DeskFailed", "Error", err)
+		os.Exit(ExitFailed)
+	}
+}
+
 // routeLibraryLogs turns the HTTP library's own lines into events.
 func routeLibraryLogs(log *slog.Logger) {
 	hlog.SetOutput(libraryLog{log: log})
