guard: Keep the retry budget beside the server, and try failing servers with care

Failing servers were tried with requests that must not repeat, and after three refusals a request insisted on a doubtful server. The latency test compared routes of 79 ms with those of 1,300 ms and ejected a healthy server at 5.5 s. Change: the guard keeps the budget of its server, one share among the servers of the service. The breaker closes after three good trials of idempotent requests. A request asks six servers before it insists, and then on busy ones first. The detector measures a request by its route's usual time. Ruled out: more tokens a router (would exceed the fleet's bound when all spend at once).

--- a/coordination/breaker/breaker.go
+++ b/coordination/breaker/breaker.go
@@ -14,6 +14,12 @@
 	maxFactor = 1.8
 	// trialTimeout lets another trial start when the first does not come back.
 	trialTimeout = time.Second
+	// trialsNeeded is how many good answers in a row close the breaker. A server
+	// that fails most of its requests still answers some.
+	trialsNeeded = 3
+	// idempotentOnly is how long only idempotent requests are trials. Without
+	// any, the server would never be tried again.
+	idempotentOnly = 4 * time.Second
 )
 
 // State is that of a breaker.
@@ -51,6 +57,8 @@
 	trialSince clocker.Instant
 	// halfOpenSince is when the state HalfOpen began.
 	halfOpenSince clocker.Instant
+	// good counts the good answers in a row of the state HalfOpen.
+	good int
 }
 
 // New returns a closed breaker with the pause after a first failure. A pause of
@@ -66,6 +74,7 @@
 		b.state = HalfOpen
 		b.halfOpenSince = now
 		b.trialSince = clocker.Instant{}
+		b.good = 0
 	}
 	return b.state
 }
@@ -86,7 +95,7 @@
 // allowTrial lets one request through; any kind once idempotent ones stay away.
 func (b *Breaker) allowTrial(now clocker.Instant, idempotent bool) bool {
 	running := b.trialSince != (clocker.Instant{}) && now.Since(b.trialSince) < trialTimeout
-	if running || !idempotent && now.Since(b.halfOpenSince) < trialTimeout {
+	if running || !idempotent && now.Since(b.halfOpenSince) < idempotentOnly {
 		return false
 	}
 	b.trialSince = now
@@ -95,11 +104,15 @@
 
 // Good notes an answer that shows the server to work.
 func (b *Breaker) Good(now clocker.Instant) {
-	if b.State(now) == Open {
+	if b.State(now) != HalfOpen {
 		return
 	}
-	b.state = Closed
-	b.pause = 0
+	b.trialSince = clocker.Instant{}
+	b.good++
+	if b.good >= trialsNeeded {
+		b.state = Closed
+		b.pause = 0
+	}
 }
 
 // Bad notes a failure of the server and returns true if the breaker opens by it.
--- a/coordination/detector/detector.go
+++ b/coordination/detector/detector.go
@@ -108,6 +108,11 @@
 	nats float64
 	// noted is the ln of the age at which the request was last counted.
 	noted float64
+	// shift is added to the ln of the request's time, so that routes of unequal
+	// work compare.
+	shift float64
+	// unrated is set if nothing is known of the route's usual time.
+	unrated bool
 }
 
 // Detector accumulates evidence on one server. It is not safe for concurrent use.
@@ -158,8 +163,8 @@
 	d.samples = 0
 	d.meanLog = d.baseline.MedianLog
 	d.origins = Origins{}
-	for id := range d.flights {
-		d.flights[id] = flight{started: now}
+	for id, current := range d.flights {
+		d.flights[id] = flight{started: now, shift: current.shift, unrated: current.unrated}
 	}
 }
 
@@ -175,6 +180,19 @@
 	d.flights[id] = flight{started: now}
 }
 
+// referenceTime stands for the usual time of every route.
+const referenceTime = 100 * time.Millisecond
+
+// StartTypical is Start for a request of a route whose usual time at the server
+// is known, or 0: then only the quality of its answer counts.
+func (d *Detector) StartTypical(now clocker.Instant, id uint64, typical time.Duration) {
+	if typical <= 0 {
+		d.flights[id] = flight{started: now, unrated: true}
+		return
+	}
+	d.flights[id] = flight{started: now, shift: logOf(referenceTime) - logOf(typical)}
+}
+
 // Finish notes the answer, or the end by cancellation if censored.
 func (d *Detector) Finish(now clocker.Instant, id uint64, bad, censored bool, origin Origin) {
 	current, ok := d.flights[id]
@@ -182,8 +200,8 @@
 		return
 	}
 	delete(d.flights, id)
-	value := logOf(now.Since(current.started))
-	if !censored || value > d.meanLog {
+	value := logOf(now.Since(current.started)) + current.shift
+	if !current.unrated && (!censored || value > d.meanLog) {
 		d.observe(value, current)
 	}
 	if censored {
@@ -200,9 +218,9 @@
 // Tick counts the requests in flight whose age has doubled since they were last counted.
 func (d *Detector) Tick(now clocker.Instant) {
 	for id, current := range d.flights {
-		age := logOf(now.Since(current.started))
+		age := logOf(now.Since(current.started)) + current.shift
 		due := max(d.baseline.MedianLog, current.noted) + math.Ln2
-		if d.baseline.Members == 0 || age < due {
+		if d.baseline.Members == 0 || current.unrated || age < due {
 			continue
 		}
 		current.nats += d.observe(age, current)
--- a/coordination/limiter/usual.go
+++ b/coordination/limiter/usual.go
@@ -2,31 +2,47 @@
 
 import "time"
 
-// maxRoutes bounds the routes whose usual times are kept.
-const maxRoutes = 4096
+const (
+	// maxRoutes bounds the routes whose usual times are kept.
+	maxRoutes = 4096
+	// usualSamples is how many times a usual time is the mean of. It is long, so
+	// that a server that turns slow does not soon pass for a usual one.
+	usualSamples = 50
+	// leastSamples is how many times make a usual time.
+	leastSamples = 3
+)
+
+type usualTime struct {
+	mean    time.Duration
+	samples int
+}
 
 // Usual holds the usual service time of each route at one backend server. It is
 // not safe for concurrent use.
 type Usual struct {
-	// times holds the smoothed service time by the hash of the route's name.
-	times map[uint64]time.Duration
+	// times holds the usual time by the hash of the route's name.
+	times map[uint64]usualTime
 }
 
 // NewUsual returns the usual times of no route.
-func NewUsual() *Usual { return &Usual{times: map[uint64]time.Duration{}} }
+func NewUsual() *Usual { return &Usual{times: map[uint64]usualTime{}} }
 
-// Observe takes the service time of a finished request.
+// Observe takes the service time of a good answer.
 func (u *Usual) Observe(route uint64, service time.Duration) {
 	have, ok := u.times[route]
-	if !ok {
-		if len(u.times) >= maxRoutes {
-			clear(u.times)
-		}
-		u.times[route] = service
-		return
+	if !ok && len(u.times) >= maxRoutes {
+		clear(u.times)
 	}
-	u.times[route] = have + time.Duration(smoothing*float64(service-have))
+	have.samples = min(have.samples+1, usualSamples)
+	have.mean += (service - have.mean) / time.Duration(have.samples)
+	u.times[route] = have
 }
 
-// Time returns the usual time of a route, 0 if it is not known.
-func (u *Usual) Time(route uint64) time.Duration { return u.times[route] }
+// Time returns the usual time of a route, 0 if it is not known yet.
+func (u *Usual) Time(route uint64) time.Duration {
+	have := u.times[route]
+	if have.samples < leastSamples {
+		return 0
+	}
+	return have.mean
+}
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -10,7 +10,7 @@
 
 const (
 	// MaxTried bounds the servers that one request may exclude.
-	MaxTried = 8
+	MaxTried = 12
 	// trialShare is how many requests there are to one trial of a slow server or of one on probation.
 	trialShare = 16
 	// slowFactor is how much slower than the pool a server may be and still be
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -19,7 +19,7 @@
 	minHedgeDelay = 2 * time.Millisecond
 )
 
-// Allowance is what one process may spend on repeats of one service.
+// Allowance is what may be spent on repeats at one backend server.
 type Allowance struct {
 	// Share is the part of first attempts that repeats may add, from 0 to 1.
 	Share float64
@@ -29,10 +29,10 @@
 	Burst float64
 }
 
-// DefaultBurst is the budget of a service that has been idle, in tokens.
+// DefaultBurst is the budget of a server that has been idle, in tokens.
 const DefaultBurst = 10
 
-// Fleet is a bound that all processes share on the repeats of one service.
+// Fleet is a bound on the repeats of one service that all its servers share.
 type Fleet struct {
 	// Share is the part of all requests that repeats may add, from 0 to 1.
 	Share float64
@@ -42,29 +42,28 @@
 }
 
 const (
-	// ownShare is the part of the fleet's share that is spent here. The rest is
-	// for the calls that repeated requests make, which count as repeats where
-	// they arrive.
-	ownShare = 0.65
-	// steadySlack is the part of the fleet's slack that is given out steadily.
-	// Most of the rest is what the processes save up.
+	// ownShare is the part of the fleet's share that is spent on repeats
+	// themselves. The rest is for the calls that repeated requests make, which
+	// count as repeats where they arrive.
+	ownShare = 0.75
+	// steadySlack and savedSlack are the parts of the fleet's slack that are
+	// given out steadily and that may be saved up.
 	steadySlack = 0.35
-	// leastBurst lets a process spend a whole token.
-	leastBurst = 1.0
+	savedSlack  = 0.45
 )
 
-// Allowance returns the part of one process among so many.
-func (f Fleet) Allowance(processes int) Allowance {
-	each := f.Slack / float64(max(processes, 1))
+// Allowance returns the part of one server among so many of its service.
+func (f Fleet) Allowance(servers int) Allowance {
+	each := f.Slack / float64(max(servers, 1))
 	return Allowance{
 		Share:     ownShare * f.Share,
 		PerSecond: steadySlack * each / f.Window.Seconds(),
-		Burst:     leastBurst,
+		Burst:     savedSlack * each,
 	}
 }
 
-// Budget bounds retries and hedges of one service at one router. It is safe
-// for concurrent use.
+// Budget bounds retries and hedges at one backend server. It is safe for
+// concurrent use.
 type Budget struct {
 	// tokens is in thousandths, from 0 to burst.
 	tokens atomic.Int64
@@ -119,6 +118,9 @@
 	}
 }
 
+// Return gives back a token of a repeat that has not reached the backend server.
+func (b *Budget) Return() { b.add(milli) }
+
 // Take uses one token and tells whether there was one.
 func (b *Budget) Take() bool {
 	if b.share.Load() == 0 {
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -80,11 +80,11 @@
 	late := ctx.Err() != nil
 	delete(g.running, work.id)
 	g.controller.Detector().Finish(now, work.id, bad, late, work.origin)
-	g.limiter.Observe(service)
-	g.usual.Observe(work.head.Route, service)
 	g.observe(now, !bad)
 	switch {
 	case !bad:
+		g.limiter.Observe(service)
+		g.usual.Observe(work.head.Route, service)
 		g.breaker.Good(now)
 		g.heard = now
 	case !late:
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -86,6 +86,7 @@
 	reasonDoubtful = "Doubtful"
 	reasonLeaving  = "Leaving"
 	reasonEjected  = "Ejected"
+	reasonNoBudget = "NoBudget"
 )
 
 // Forward carries one attempt.
@@ -180,13 +181,35 @@
 	if !g.breaker.Allow(now, work.head.Idempotent, work.head.Insist) {
 		return 0, reasonDoubtful
 	}
+	if !g.takeBudget(now, work) {
+		return 0, reasonNoBudget
+	}
 	decision := g.limiter.AdmitRanked(now, work.id, work.deadline, work.head.Rank)
 	if decision == limiter.Started || decision == limiter.Queued {
 		return decision, ""
 	}
+	g.returnBudget(work)
 	return 0, decision.String()
 }
 
+// takeBudget counts a first attempt, or uses a token for a repeat of a request
+// that may have reached a server already.
+func (g *Guard) takeBudget(now clocker.Instant, work *task) bool {
+	g.budget.Refill(now.Mono)
+	if work.head.Earlier == 0 {
+		g.budget.First()
+		return true
+	}
+	return g.budget.Take()
+}
+
+// returnBudget gives back what an attempt took that its server never gets.
+func (g *Guard) returnBudget(work *task) {
+	if work.head.Earlier > 0 {
+		g.budget.Return()
+	}
+}
+
 // rule consults the memory of attempts and keys.
 func (g *Guard) rule(now clocker.Instant, work *task) *refusal {
 	if !work.remembered {
@@ -238,6 +261,7 @@
 	}
 	g.mu.Lock()
 	g.withdraw(work)
+	g.returnBudget(work)
 	g.mu.Unlock()
 	return nil, &refusal{outcome: answerer.OutcomeNotRun, reason: "QueueTimeout"}
 }
@@ -376,6 +400,7 @@
 func (g *Guard) abandonOffer(work *task, cause error) {
 	g.mu.Lock()
 	g.withdraw(work)
+	g.returnBudget(work)
 	g.mu.Unlock()
 	g.deps.Log.Info("OfferAbandoned", "Request", work.head.RequestId, "Error", cause)
 }
@@ -447,9 +472,9 @@
 	defer g.mu.Unlock()
 	work.sent = g.deps.Now()
 	g.running[work.id] = work
-	g.controller.Detector().Start(work.sent, work.id)
+	g.controller.Detector().StartTypical(work.sent, work.id, g.usual.Time(work.head.Route))
 	g.deps.Log.Info("Dispatched", "Request", work.head.RequestId, "Service", work.head.Service, "Run", work.run,
-		"InFlight", g.limiter.InFlight(), "Waiting", g.limiter.Waiting(), "LeftMs", -work.sent.Since(work.deadline).Milliseconds())
+		"Rank", work.head.Rank, "Earlier", work.head.Earlier, "InFlight", g.limiter.InFlight(), "Waiting", g.limiter.Waiting(), "LeftMs", -work.sent.Since(work.deadline).Milliseconds())
 }
 
 // declined handles the server's own word that it has not run the request.
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
 	"github.com/foxtailhall/foxtailhall/coordination/limiter"
 	"github.com/foxtailhall/foxtailhall/coordination/locker"
+	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/transport/deliverer"
@@ -103,6 +104,8 @@
 	dispatcher *dispatcher.Dispatcher
 	controller *controller.Controller
 	breaker    *breaker.Breaker
+	// budget bounds the repeats that the backend server is given.
+	budget *retrier.Budget
 	// usual holds the usual service times by route.
 	usual *limiter.Usual
 	// running holds the requests that are at the backend server.
@@ -128,6 +131,7 @@
 		dispatcher: dispatcher.New(deps.Limits),
 		controller: controller.New(deps.Incarnation, deps.Now(), deps.Lifetime),
 		breaker:    breaker.New(0),
+		budget:     retrier.New(0),
 		usual:      limiter.NewUsual(),
 		running:    map[uint64]*task{},
 		waiters:    map[uint64]chan bool{},
@@ -237,6 +241,14 @@
 	}
 }
 
+// SetAllowance takes what may be spent on repeats at the backend server.
+func (g *Guard) SetAllowance(allowance func(service string) retrier.Allowance) {
+	g.mu.Lock()
+	service := g.service.Name
+	g.mu.Unlock()
+	g.budget.SetAllowance(allowance(service))
+}
+
 // Configure takes a newer version of the configuration.
 func (g *Guard) Configure() {
 	g.mu.Lock()
--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -26,9 +26,6 @@
 	left := -r.deps.Now().Since(request.deadline())
 	ctx, cancel := context.WithTimeout(parent, left)
 	lane := r.deps.Lanes.Lane(request.service.Name)
-	if lane != nil {
-		lane.Budget.First()
-	}
 	switch {
 	case lane == nil:
 		return reply{refused: notRun(consts.StatusServiceUnavailable, "NoBackendServer"), cancel: cancel}
@@ -37,7 +34,7 @@
 	case request.idempotent:
 		return reply{cancel: cancel}.with(r.handleIdempotent(ctx, request, lane))
 	default:
-		return reply{cancel: cancel}.with(r.handleOnce(ctx, request, lane))
+		return reply{cancel: cancel}.with(r.handleOnce(ctx, request))
 	}
 }
 
@@ -81,7 +78,7 @@
 
 // handleOnce runs a non-idempotent request without a key. It is sent again only
 // after an attempt that has not run and never will.
-func (r *Router) handleOnce(ctx context.Context, request *call, lane *Lane) (*result, *refusal) {
+func (r *Router) handleOnce(ctx context.Context, request *call) (*result, *refusal) {
 	var servers search
 	last := result{kind: resultRefused, reason: "NoBackendServer"}
 	for {
@@ -93,7 +90,7 @@
 		servers.note(&outcome, insist)
 		last = outcome
 		more := !outcome.touched && ctx.Err() == nil
-		history := retrier.History{Kind: retrier.KindOnce, More: more && r.mayRetry(request, lane, &outcome, 0)}
+		history := retrier.History{Kind: retrier.KindOnce, More: more && r.mayRetry(request, &outcome, 0)}
 		step := history.AfterAttempt(outcome.end())
 		if step == retrier.StepResolve {
 			step = history.AfterResolve(r.resolve(ctx, request, outcome))
@@ -105,24 +102,12 @@
 }
 
 // mayRetry tells whether another attempt is allowed beside those still pending.
-// It costs budget only if an earlier one has reached a backend server.
-func (r *Router) mayRetry(request *call, lane *Lane, outcome *result, pending int) bool {
+// The guard asked has the last word, since it keeps its server's budget.
+func (r *Router) mayRetry(request *call, outcome *result, pending int) bool {
 	if outcome.kind == resultAnswered && !outcome.bad() {
 		return false
 	}
-	if request.arrivals+pending == 0 {
-		return true
-	}
-	if request.arrivals+pending >= request.maxArrivals() {
-		return false
-	}
-	return r.takeBudget(lane)
-}
-
-// takeBudget uses one token of the service's budget and tells whether there was one.
-func (r *Router) takeBudget(lane *Lane) bool {
-	lane.Budget.Refill(r.deps.Now().Mono)
-	return lane.Budget.Take()
+	return request.arrivals+pending < request.maxArrivals()
 }
 
 // handleKeyed runs a request with a key at the one guard that may run it.
--- a/transport/router/lanes.go
+++ b/transport/router/lanes.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
-	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
 )
@@ -14,9 +13,8 @@
 // Lane is what the router keeps for one service.
 type Lane struct {
 	Pool *tracker.Pool
-	// Budget and Late outlive all versions of the pool.
-	Budget *retrier.Budget
-	Late   *LateTimes
+	// Late outlives all versions of the pool.
+	Late *LateTimes
 	// members is the roster's slice that Pool was built from.
 	members []registrar.Member
 }
@@ -67,17 +65,12 @@
 	return *l.current.Load()
 }
 
-// Update replaces all lanes by those of a newer roster and catalog, at a
-// monotonic time. Only one goroutine may update.
-func (l *Lanes) Update(
-	now time.Duration, roster registrar.Roster, catalog cataloger.Catalog, allowance func(cataloger.Policy) retrier.Allowance,
-) {
+// Update replaces all lanes by those of a newer roster, at a monotonic time. Only one goroutine may update.
+func (l *Lanes) Update(now time.Duration, roster registrar.Roster) {
 	old := *l.current.Load()
 	next := make(map[string]*Lane, len(old))
 	for _, service := range roster.Services() {
-		policy, _ := catalog.PolicyOf(service)
 		next[service] = updated(old[service], now, roster.Pool(service))
-		next[service].Budget.SetAllowance(allowance(policy))
 	}
 	l.current.Store(&next)
 }
@@ -88,11 +81,10 @@
 	}
 	lane := &Lane{Pool: &tracker.Pool{Entries: make([]tracker.Entry, 0, len(members))}, members: members}
 	if old == nil {
-		lane.Budget = retrier.New(0)
 		lane.Late = &LateTimes{}
 		lane.Pool.Typical = tracker.New(0, now, 0)
 	} else {
-		lane.Budget, lane.Late, lane.Pool.Typical = old.Budget, old.Late, old.Pool.Typical
+		lane.Late, lane.Pool.Typical = old.Late, old.Pool.Typical
 	}
 	for _, member := range members {
 		lane.Pool.Entries = append(lane.Pool.Entries, tracker.Entry{
--- a/transport/router/lanes_test.go
+++ b/transport/router/lanes_test.go
@@ -7,8 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/foxtailhall/foxtailhall/coordination/retrier"
-	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/router"
 )
@@ -30,18 +28,14 @@
 	return r
 }
 
-func allowance(policy cataloger.Policy) retrier.Allowance {
-	return retrier.Allowance{Share: policy.RetryShare, Burst: retrier.DefaultBurst}
-}
-
 func TestLanesKeepWhatTheyKnow(t *testing.T) {
 	lanes := router.NewLanes()
 	r := roster(2 * perService)
-	lanes.Update(time.Second, r, cataloger.New(), allowance)
+	lanes.Update(time.Second, r)
 	first, second := lanes.Lane("service-0"), lanes.Lane("service-1")
 	known, _ := first.Pool.Find(1)
 	known.Server.Observe(time.Second)
-	lanes.Update(2*time.Second, r.WithMember(member(0).WithState(registrar.StateEjected).WithVersion(2)), cataloger.New(), allowance)
+	lanes.Update(2*time.Second, r.WithMember(member(0).WithState(registrar.StateEjected).WithVersion(2)))
 	t.Run("ChangedServiceGetsTheNewState", func(t *testing.T) {
 		entry, ok := lanes.Lane("service-0").Pool.Find(1)
 		require.True(t, ok)
@@ -50,13 +44,13 @@
 	t.Run("ItsServersKeepTheirFigures", func(t *testing.T) {
 		entry, _ := lanes.Lane("service-0").Pool.Find(1)
 		require.Same(t, known.Server, entry.Server)
-		require.Same(t, first.Budget, lanes.Lane("service-0").Budget)
+		require.Same(t, first.Late, lanes.Lane("service-0").Late)
 	})
 	t.Run("OtherServicesStay", func(t *testing.T) {
 		require.Same(t, second.Pool, lanes.Lane("service-1").Pool)
 	})
 	t.Run("ServiceWithoutServersIsGone", func(t *testing.T) {
-		lanes.Update(3*time.Second, roster(perService), cataloger.New(), allowance)
+		lanes.Update(3*time.Second, roster(perService))
 		require.Nil(t, lanes.Lane("service-1"))
 	})
 }
@@ -67,11 +61,11 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			lanes := router.NewLanes()
 			r := roster(size)
-			lanes.Update(0, r, cataloger.New(), allowance)
+			lanes.Update(0, r)
 			b.ResetTimer()
 			for i := range b.N {
 				r = r.WithMember(member(i % size).WithVersion(uint64(i + 2)))
-				lanes.Update(0, r, cataloger.New(), allowance)
+				lanes.Update(0, r)
 			}
 		})
 	}
--- a/transport/router/race.go
+++ b/transport/router/race.go
@@ -10,7 +10,6 @@
 // race runs the attempts of one idempotent request.
 type race struct {
 	router  *Router
-	lane    *Lane
 	request *call
 	servers search
 	results chan entrant
@@ -40,7 +39,6 @@
 func (r *Router) handleIdempotent(ctx context.Context, request *call, lane *Lane) (*result, *refusal) {
 	contest := &race{
 		router:  r,
-		lane:    lane,
 		request: request,
 		results: make(chan entrant, maxAsked),
 		last:    retrier.StepNotRun,
@@ -93,9 +91,7 @@
 	if c.request.long != nil || c.pending != 1 || c.request.arrivals+c.pending >= c.request.maxArrivals() {
 		return
 	}
-	if c.router.takeBudget(c.lane) {
-		c.launch(ctx)
-	}
+	c.launch(ctx)
 }
 
 // launch starts one more attempt and tells whether there was a server for it.
@@ -115,6 +111,7 @@
 	index := len(c.cancels)
 	c.cancels = append(c.cancels, cancel)
 	copied := *c.request
+	copied.arrivals += c.pending - 1
 	c.request.attempts++
 	go func() {
 		outcome := c.router.send(ctx, &copied, entry, why.String(), insist)
@@ -139,11 +136,14 @@
 	if end == retrier.EndBadAnswer {
 		c.keepFallback(&outcome.result)
 	}
+	if end == retrier.EndRefused && c.pending > 0 {
+		return nil
+	}
 	c.mayHaveRun = c.mayHaveRun || end != retrier.EndRefused
 	more := !outcome.touched && ctx.Err() == nil
 	history := retrier.History{
 		Kind:       retrier.KindIdempotent,
-		More:       more && c.router.mayRetry(c.request, c.lane, &outcome.result, c.pending),
+		More:       more && c.router.mayRetry(c.request, &outcome.result, c.pending),
 		MayHaveRun: c.mayHaveRun,
 	}
 	c.last = history.AfterAttempt(end)
--- a/transport/router/search.go
+++ b/transport/router/search.go
@@ -1,14 +1,16 @@
 package router
 
 import (
+	"slices"
+
 	"github.com/foxtailhall/foxtailhall/coordination/picker"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
 )
 
 const (
-	// softRefusals is how many servers may refuse for want of a slot before the
-	// request asks to be queued.
-	softRefusals = 3
+	// softRefusals is how many servers may refuse for want of a slot, or in doubt
+	// of their own health, before the request insists on one of them.
+	softRefusals = 6
 	// maxAsked bounds the guards that one request asks.
 	maxAsked = picker.MaxTried
 )
@@ -17,36 +19,44 @@
 type search struct {
 	// spent holds the servers that are not asked again.
 	spent []uint64
-	// soft holds those that refused for want of a slot or in doubt.
-	soft []uint64
+	// busy and doubtful hold those that refused for the time being.
+	busy     []uint64
+	doubtful []uint64
 	// asked counts the attempts.
 	asked int
 }
 
-// next returns the server to ask, and whether to insist on being queued. The
-// entry's Server is nil if there is none.
+// next returns the server to ask, and whether to insist. The entry's Server is
+// nil if there is none.
 func (s *search) next(r *Router, request *call) (tracker.Entry, picker.Reason, bool) {
 	if s.asked >= maxAsked {
 		return tracker.Entry{}, picker.ReasonNone, false
 	}
-	if len(s.soft) < softRefusals {
-		known := append(append([]uint64{}, s.spent...), s.soft...)
-		if entry, why := r.pick(request, known); entry.Server != nil {
-			s.asked++
+	s.asked++
+	soft := slices.Concat(s.busy, s.doubtful)
+	if len(soft) < softRefusals {
+		if entry, why := r.pick(request, slices.Concat(s.spent, soft)); entry.Server != nil {
 			return entry, why, false
 		}
 	}
+	if len(s.busy) > 0 {
+		if entry, why := r.pick(request, slices.Concat(s.spent, s.doubtful)); entry.Server != nil {
+			return entry, why, true
+		}
+	}
 	entry, why := r.pick(request, s.spent)
-	s.asked++
 	return entry, why, true
 }
 
 // note takes the end of an attempt.
 func (s *search) note(outcome *result, insisted bool) {
 	incarnation := outcome.entry.Member.Incarnation
-	if outcome.soft() && !insisted {
-		s.soft = append(s.soft, incarnation)
-		return
+	switch {
+	case insisted || !outcome.soft():
+		s.spent = append(s.spent, incarnation)
+	case outcome.verdict.Busy:
+		s.busy = append(s.busy, incarnation)
+	default:
+		s.doubtful = append(s.doubtful, incarnation)
 	}
-	s.spent = append(s.spent, incarnation)
 }
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -18,7 +18,6 @@
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
-	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/transport/connector"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
@@ -102,7 +101,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-r.refresh:
-			r.lanes.Update(r.now().Mono, *r.roster.Load(), r.catalog(), r.allowance)
+			r.lanes.Update(r.now().Mono, *r.roster.Load())
+			r.guard.SetAllowance(r.allowance)
 		}
 	}
 }
@@ -114,24 +114,22 @@
 	}
 }
 
-// allowance is what this process may spend on repeats of one service. On a
-// platform the bound is the fleet's, shared out among all processes; one that
-// loses sight of others keeps to the largest number that it has known.
-func (r *Runner) allowance(policy cataloger.Policy) retrier.Allowance {
+// allowance is what may be spent on repeats at one server of a service. On a
+// platform the bound is the fleet's, shared out among the service's servers; a
+// process that loses sight of some keeps to the largest number it has known.
+func (r *Runner) allowance(service string) retrier.Allowance {
 	settings := r.deps.Settings
 	if r.deps.Source == nil {
+		policy, _ := r.catalog().PolicyOf(service)
 		return retrier.Allowance{Share: policy.RetryShare, Burst: retrier.DefaultBurst}
 	}
-	seen := int64(r.roster.Load().Len())
-	for most := r.mostSeen.Load(); seen > most && !r.mostSeen.CompareAndSwap(most, seen); most = r.mostSeen.Load() {
-		continue
-	}
+	r.mostSeen[service] = max(r.mostSeen[service], len(r.roster.Load().Pool(service)), fewestServers)
 	fleet := retrier.Fleet{Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow}
-	return fleet.Allowance(int(max(r.mostSeen.Load(), fewestProcesses)))
+	return fleet.Allowance(r.mostSeen[service])
 }
 
-// fewestProcesses is the least size of a fleet that a starting process assumes.
-const fewestProcesses = 20
+// fewestServers is the least number of servers that a starting process assumes.
+const fewestServers = 6
 
 // stop is the planned stop: leave, drain, last word, then the callers.
 func (r *Runner) stop(ctx context.Context) {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -86,8 +86,9 @@
 	// enrollMu guards enroller.
 	enrollMu sync.Mutex
 	enroller enroller.Enroller
-	// mostSeen is the largest number of processes that was known at once.
-	mostSeen atomic.Int64
+	// mostSeen is the largest number of servers of each service that was known
+	// at once. Only refreshLanes uses it.
+	mostSeen map[string]int
 
 	claims *claims
 	// logReached is the monotonic time, in nanoseconds, of the last answer of the log.
@@ -114,6 +115,7 @@
 		lanes:     router.NewLanes(),
 		refresh:   make(chan struct{}, 1),
 		ejectors:  map[string]*ejector.Ejector{},
+		mostSeen:  map[string]int{},
 		leave:     make(chan struct{}),
 		stopped:   make(chan struct{}),
 	}
