--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -45,11 +45,11 @@
 	// ownShare is the part of the fleet's share that is spent on repeats
 	// themselves. The rest is for the calls that repeated requests make, which
 	// count as repeats where they arrive.
-	ownShare = 0.75
+	ownShare = 0.6
 	// steadySlack and savedSlack are the parts of the fleet's slack that are
 	// given out steadily and that may be saved up.
-	steadySlack = 0.35
-	savedSlack  = 0.45
+	steadySlack = 0.3
+	savedSlack  = 0.4
 )
 
 // Allowance returns the part of one server among so many of its service.
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -45,6 +45,8 @@
 	// bound is set if key is a bound key.
 	bound  claimer.BoundKey
 	caller uint64
+	// remote is the caller's IP number.
+	remote string
 	// attempts counts the guards that were asked.
 	attempts int
 	// arrivals counts the attempts that may have reached a backend server.
@@ -75,6 +77,7 @@
 		long:   incoming.Stream,
 		length: incoming.Length,
 		caller: hashOf(incoming.Remote),
+		remote: incoming.Remote,
 	}
 	request.host, _, _ = strings.Cut(string(header.Host()), ":")
 	request.path, _, _ = strings.Cut(request.uri, "?")
--- a/transport/router/respond.go
+++ b/transport/router/respond.go
@@ -57,8 +57,8 @@
 	r.deps.Meter.Latency(request.service.Name, took)
 	r.deps.Log.Info("Finished", "Request", request.id, "Route", request.route.Name, "Service", request.service.Name,
 		"Outcome", refused.outcome.String(), "Status", refused.status, "Reason", refused.reason,
-		"Version", r.deps.Catalog().Version(), "Attempts", request.attempts, "Arrivals", request.arrivals,
-		"TookUs", took.Microseconds())
+		"Version", r.deps.Catalog().Version(), "Caller", request.remote, "Attempts", request.attempts,
+		"Arrivals", request.arrivals, "TookUs", took.Microseconds())
 	return response
 }
 
@@ -187,6 +187,6 @@
 	r.deps.Meter.Latency(d.request.service.Name, took)
 	r.deps.Log.Info("Finished", "Request", d.request.id, "Route", d.request.route.Name, "Service", d.request.service.Name,
 		"Outcome", outcome, "Status", d.answer.head.Status, "Version", r.deps.Catalog().Version(),
-		"Attempts", d.request.attempts, "Arrivals", d.request.arrivals,
+		"Caller", d.request.remote, "Attempts", d.request.attempts, "Arrivals", d.request.arrivals,
 		"Server", d.answer.entry.Member.Address, "TookUs", took.Microseconds())
 }
