runner: End a planned stop with an answer to each request, and reload at SIGHUP

Cause: SIGHUP ended the process (exit 129). A stop waited for the guard before it sent callers elsewhere, and closed connections whose requests were still unanswered. Change: callers and guard are drained side by side, new requests are refused in the second half of the grace time, and what is left is canceled and answered before the kill. Settings are read again at SIGHUP; a faulty file changes nothing. The enroller keeps a farewell that tells no start.

--- a/commands/run.go
+++ b/commands/run.go
@@ -33,6 +33,9 @@
 
 // Execute runs the process until a signal stops it.
 func (c *runCommand) Execute([]string) error {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGHUP)
+	defer signal.Stop(asked)
 	settings, err := c.deps.loader.Load(c.Settings)
 	if err != nil {
 		return fmt.Errorf("starting: %w", err)
@@ -52,12 +55,30 @@
 		go c.serve(desk, log)
 		defer func() { _ = desk.Close() }()
 	}
+	go c.reload(ctx, asked, process, log)
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("running: %w", err)
 	}
 	return nil
 }
 
+// reload takes the settings again at each SIGHUP. A faulty file changes nothing.
+func (c *runCommand) reload(ctx context.Context, asked <-chan os.Signal, process *runner.Runner, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		settings, err := c.deps.loader.Load(c.Settings)
+		if err != nil {
+			log.Error("SettingsRefused", "Error", err)
+			continue
+		}
+		process.Reload(settings)
+	}
+}
+
 // build returns the process and, on a platform, what the platform calls at it.
 func (c *runCommand) build(settings loader.Settings, log *slog.Logger) (*runner.Runner, *platform.Desk, error) {
 	deps := runner.Dependencies{
--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -2,6 +2,15 @@
 // and foreign announcements change nothing.
 package enroller
 
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+)
+
+// lateLimit is how late an announcement may come that was sent before a farewell.
+const lateLimit = 8 * time.Second
+
 // Entry is one announcement of a backend server.
 type Entry struct {
 	// ID names the server. A server may start again under the ID that it had.
@@ -17,6 +26,8 @@
 	Sequence uint64
 	// Leaving is set once the server takes no new work.
 	Leaving bool
+	// Heard is when the entry came.
+	Heard clocker.Instant
 }
 
 // Verdict is what becomes of an announcement.
@@ -77,6 +88,8 @@
 	switch {
 	case farewell && entry.StartedMs == 0:
 		return known.ID != "" && entry.ID != known.ID
+	case known.Leaving && known.StartedMs == 0:
+		return e.before(entry)
 	case entry.StartedMs != known.StartedMs:
 		return entry.StartedMs < known.StartedMs
 	case entry.ID != known.ID:
@@ -88,6 +101,16 @@
 	}
 }
 
+// before tells whether an entry was sent before a farewell that did not tell
+// when its run had started.
+func (e Enroller) before(entry Entry) bool {
+	known := e.latest
+	if entry.ID != known.ID || entry.Heard.Since(known.Heard) > lateLimit {
+		return false
+	}
+	return entry.StartedMs <= known.Heard.UnixMilli()
+}
+
 // withLeaving notes that a run leaves. A farewell does not tell the rest.
 func (e Enroller) withLeaving(entry Entry) Enroller {
 	if entry.ID == e.latest.ID && (entry.StartedMs == 0 || entry.StartedMs == e.latest.StartedMs) {
--- /dev/null
+++ b/coordination/enroller/enroller_test.go
@@ -0,0 +1,121 @@
+package enroller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+)
+
+const (
+	address = "10.1.0.8:8301"
+	epoch   = 1_700_000_000_000
+)
+
+func at(after time.Duration) clocker.Instant {
+	return clocker.Instant{Mono: after, Wall: epoch*time.Millisecond + after}
+}
+
+func ready(id string, started int64, sequence uint64) enroller.Entry {
+	return enroller.Entry{
+		ID: id, Address: address, Service: "billing", Slots: 4, StartedMs: epoch + started, Sequence: sequence, Heard: at(time.Second),
+	}
+}
+
+func leaving(entry enroller.Entry) enroller.Entry {
+	entry.Leaving = true
+	return entry
+}
+
+func farewell(id string, heard time.Duration) enroller.Entry {
+	return enroller.Entry{ID: id, Leaving: true, Heard: at(heard)}
+}
+
+// requireVerdicts feeds entries one after the other.
+func requireVerdicts(t *testing.T, entries []enroller.Entry, want ...enroller.Verdict) {
+	t.Helper()
+	e := enroller.New(address)
+	for i, entry := range entries {
+		var verdict enroller.Verdict
+		e, verdict = e.WithEntry(entry)
+		require.Equal(t, want[i].String(), verdict.String(), "entry %d", i)
+	}
+}
+
+func TestEnroller(t *testing.T) {
+	const (
+		announced = enroller.VerdictAnnounced
+		retired   = enroller.VerdictRetired
+		foreign   = enroller.VerdictForeign
+		stale     = enroller.VerdictStale
+	)
+	t.Run("RenewalRisesInSequence", func(t *testing.T) {
+		requireVerdicts(t, []enroller.Entry{ready("a", 0, 1), ready("a", 0, 2), ready("a", 0, 2)}, announced, announced, stale)
+	})
+	t.Run("LateWordAfterDrainingIsStale", func(t *testing.T) {
+		requireVerdicts(t, []enroller.Entry{ready("a", 0, 1), leaving(ready("a", 0, 5)), ready("a", 0, 4)}, announced, retired, stale)
+	})
+	t.Run("LaterSequenceDoesNotReviveADrainingRun", func(t *testing.T) {
+		requireVerdicts(t, []enroller.Entry{leaving(ready("a", 0, 5)), ready("a", 0, 6)}, retired, stale)
+	})
+	t.Run("NewRunUnderTheSameID", func(t *testing.T) {
+		requireVerdicts(t, []enroller.Entry{ready("a", 0, 9), ready("a", 10, 1), ready("a", 0, 10)}, announced, announced, stale)
+	})
+	t.Run("EarlierRunUnderAnotherIDIsStale", func(t *testing.T) {
+		requireVerdicts(t, []enroller.Entry{ready("b", 10, 1), ready("a", 0, 50)}, announced, stale)
+	})
+	t.Run("FarewellOfAnEarlierRunIsStale", func(t *testing.T) {
+		requireVerdicts(t, []enroller.Entry{ready("b", 10, 1), farewell("a", 2*time.Second)}, announced, stale)
+	})
+	t.Run("OtherAddressIsForeign", func(t *testing.T) {
+		other := ready("a", 0, 1)
+		other.Address = "10.1.0.9:8301"
+		requireVerdicts(t, []enroller.Entry{other}, foreign)
+	})
+	t.Run("LateWordAfterAFarewellToAFreshProcessIsStale", func(t *testing.T) {
+		late := ready("a", 0, 7)
+		late.Heard = at(4 * time.Second)
+		requireVerdicts(t, []enroller.Entry{farewell("a", 2*time.Second), late}, retired, stale)
+	})
+	t.Run("RunThatStartedAfterTheFarewellCounts", func(t *testing.T) {
+		fresh := ready("a", 3000, 1)
+		fresh.Heard = at(4 * time.Second)
+		requireVerdicts(t, []enroller.Entry{farewell("a", 2*time.Second), fresh}, retired, announced)
+	})
+	t.Run("ClockThatRanAheadHoldsARunBackForATimeOnly", func(t *testing.T) {
+		fresh := ready("a", 1000, 1)
+		fresh.Heard = at(11 * time.Second)
+		requireVerdicts(t, []enroller.Entry{farewell("a", 2*time.Second), fresh}, retired, announced)
+	})
+}
+
+// TestNoRunIsRevived draws announcements of several runs in any order: a run
+// that has left is never announced again, and an earlier run never replaces a later one.
+func TestNoRunIsRevived(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := enroller.New(address)
+		left := map[int64]bool{}
+		latest := int64(-1)
+		for range rapid.IntRange(1, 40).Draw(t, "entries") {
+			run := rapid.Int64Range(0, 3).Draw(t, "run")
+			entry := ready("a", run, rapid.Uint64Range(1, 9).Draw(t, "sequence"))
+			entry.Leaving = rapid.IntRange(0, 3).Draw(t, "leaving") == 0
+			next, verdict := e.WithEntry(entry)
+			e = next
+			switch verdict {
+			case enroller.VerdictAnnounced:
+				require.False(t, left[run], "a run that left was announced again")
+				require.GreaterOrEqual(t, run, latest, "an earlier run replaced a later one")
+				latest = run
+			case enroller.VerdictRetired:
+				left[run] = true
+				latest = max(latest, run)
+			default:
+			}
+		}
+	})
+}
--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -77,8 +77,6 @@
 	closing atomic.Bool
 	// active counts requests from their head to the end of their answer.
 	active atomic.Int64
-	// newest is when the latest head was complete, as Unix time in ns.
-	newest atomic.Int64
 }
 
 // New returns an acceptor that will listen on an IP:port.
@@ -156,11 +154,6 @@
 // Active counts requests from their head to the end of their answer.
 func (a *Acceptor) Active() int64 { return a.active.Load() }
 
-// Quiet returns how long no request has come.
-func (a *Acceptor) Quiet() time.Duration {
-	return time.Since(time.Unix(0, a.newest.Load()))
-}
-
 // Drain makes each connection end with the request that it reads next, and
 // closes those that have none. New connections are still taken.
 func (a *Acceptor) Drain() {
@@ -172,6 +165,15 @@
 	}
 }
 
+// Cancel ends the contexts of all requests. Their answers are still written.
+func (a *Acceptor) Cancel() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.open {
+		c.cancel()
+	}
+}
+
 // Close stops listening and ends all connections.
 func (a *Acceptor) Close() {
 	a.mu.Lock()
--- a/transport/acceptor/connection.go
+++ b/transport/acceptor/connection.go
@@ -172,7 +172,6 @@
 		return true, c.refuseHead(err)
 	}
 	c.acceptor.active.Add(1)
-	c.acceptor.newest.Store(time.Now().UnixNano())
 	c.pending.Add(1)
 	last := frame.close || c.acceptor.closing.Load()
 	place := &turn{
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -95,6 +95,9 @@
 
 // admit finds the route and checks the request against it.
 func (r *Router) admit(request *call) *refusal {
+	if r.refusing.Load() {
+		return notRun(consts.StatusServiceUnavailable, "Stopping")
+	}
 	if !r.deps.Ready() {
 		return notRun(consts.StatusServiceUnavailable, "NoConfiguration")
 	}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -62,6 +63,8 @@
 type Router struct {
 	deps     Dependencies
 	acceptor *acceptor.Acceptor
+	// refusing is set once no new request is taken.
+	refusing atomic.Bool
 }
 
 // New returns a router that will listen on an IP:port.
@@ -95,8 +98,11 @@
 // Active counts requests from their arrival to the end of their answer.
 func (r *Router) Active() int64 { return r.acceptor.Active() }
 
-// Quiet returns how long no request has come.
-func (r *Router) Quiet() time.Duration { return r.acceptor.Quiet() }
+// Refuse answers all further requests with the word that they have not run.
+func (r *Router) Refuse() { r.refusing.Store(true) }
+
+// Cancel ends all requests; their callers are told what is known of them.
+func (r *Router) Cancel() { r.acceptor.Cancel() }
 
 // Drain ends callers' connections as they become idle.
 func (r *Router) Drain() { r.acceptor.Drain() }
--- a/transport/runner/enrolment.go
+++ b/transport/runner/enrolment.go
@@ -13,6 +13,7 @@
 func (r *Runner) Enroll(entry enroller.Entry, coldStart time.Duration) error {
 	r.enrollMu.Lock()
 	defer r.enrollMu.Unlock()
+	entry.Heard = r.now()
 	next, verdict := r.enroller.WithEntry(entry)
 	r.enroller = next
 	switch verdict {
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -14,7 +14,6 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
-	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
@@ -31,12 +30,6 @@
 	probePeriod = 100 * time.Millisecond
 	// copyPeriod is how often it is looked whether the head must be copied.
 	copyPeriod = time.Second
-	// drainPeriod is how often a stop looks whether callers are still served.
-	drainPeriod = 10 * time.Millisecond
-	// closureTimeout bounds the last word to the log at a planned stop.
-	closureTimeout = 3 * time.Second
-	// farewellTime lets the news of the stop spread before the process ends.
-	farewellTime = 300 * time.Millisecond
 )
 
 func (r *Runner) startServers(ctx context.Context, group *errgroup.Group, peers net.Listener) {
@@ -118,7 +111,7 @@
 // platform the bound is the fleet's, shared out among the service's servers; a
 // process that loses sight of some keeps to the largest number it has known.
 func (r *Runner) allowance(service string) retrier.Allowance {
-	settings := r.deps.Settings
+	settings := r.settings.Load()
 	if r.deps.Source == nil {
 		policy, _ := r.catalog().PolicyOf(service)
 		return retrier.Allowance{Share: policy.RetryShare, Burst: retrier.DefaultBurst}
@@ -130,36 +123,3 @@
 
 // fewestServers is the least number of servers that a starting process assumes.
 const fewestServers = 6
-
-// stop is the planned stop: leave, drain, last word, then the callers.
-func (r *Runner) stop(ctx context.Context) {
-	r.deps.Log.Info("Stopping", "Incarnation", r.incarnation)
-	began := r.now()
-	r.stopping.Store(true)
-	if r.deps.Source != nil {
-		go r.delist(ctx)
-	}
-	if err := r.guard.Leave(ctx); err != nil {
-		r.deps.Log.Error("LeaveFailed", "Error", err)
-	}
-	if r.deps.Source == nil {
-		r.writeClosure(ctx)
-	}
-	pause(ctx, r.deps.Settings.StopGrace-r.now().Since(began))
-	r.router.Drain()
-	for r.router.Active() > 0 && pause(ctx, drainPeriod) && !r.outOfTime(began) {
-		continue
-	}
-	r.farewell()
-	close(r.stopped)
-	pause(ctx, farewellTime)
-}
-
-// killMargin is kept between the end of a planned stop and the kill.
-const killMargin = 500 * time.Millisecond
-
-// outOfTime tells whether the process is about to be killed.
-func (r *Runner) outOfTime(began clocker.Instant) bool {
-	limit := r.deps.Settings.StopLimit
-	return limit > 0 && r.now().Since(began) > limit-killMargin
-}
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -51,7 +51,9 @@
 
 // Runner is one process.
 type Runner struct {
-	deps        Dependencies
+	deps Dependencies
+	// settings are those in force; Reload replaces them.
+	settings    atomic.Pointer[loader.Settings]
 	started     time.Time
 	incarnation uint64
 	appender    *appender.Appender
@@ -122,6 +124,7 @@
 	r.incarnation = uint64(r.started.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
 	folded := publisher.New(deps.Parser)
 	r.folded.Store(&folded)
+	r.settings.Store(&deps.Settings)
 	r.inForce.Store(&version{catalog: cataloger.New()})
 	r.enroller = enroller.New(deps.Settings.ServerAddress)
 	r.claims = newClaims(r)
@@ -187,7 +190,7 @@
 		Lanes:       r.lanes,
 		Guard:       r.connector.Guard,
 		Callers:     r.deps.Callers,
-		Origin:      func() string { return r.deps.Settings.Service },
+		Origin:      func() string { return r.settings.Load().Service },
 		Ready:       func() bool { return r.deps.Source == nil || r.configured() },
 		KeyPath:     r.keyPath(),
 		Claim:       r.claims.Claim,
