gossiper: Ping other availability zones rarely, and offer without headers

Change: members of other zones are pinged in one round of four, an offer carries no headers until it is admitted, servers that are passed over are asked only to insist, and silent paths are probed after 1.5 s, as the first word of a guard now shows a working path.

--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -26,6 +26,11 @@
 	spreadFactor = 3
 	// fullPeriod is the least time between two full views asked for.
 	fullPeriod = time.Second
+	// farRounds is how many rounds of pings there are to one that includes the
+	// members of other availability zones. Their own zones ping them in each.
+	farRounds = 4
+	// nearMembers is how many members of the own zone make far ones wait.
+	nearMembers = 3
 	// urgentTargets is how many members hear of an own change at once.
 	urgentTargets = 3
 )
@@ -52,6 +57,8 @@
 	seedNext int
 	version  uint64
 	urgent   bool
+	// rounds counts the refills of queue.
+	rounds int
 }
 
 // New returns the membership of a process that knows only itself and seed addresses.
@@ -174,17 +181,32 @@
 }
 
 func (g *Gossiper) refill() {
-	for _, member := range g.roster.Members() {
-		if member.Incarnation != g.self.Incarnation && member.State != registrar.StateGone {
-			g.queue = append(g.queue, member.Incarnation)
-		}
+	near, far := g.others()
+	g.queue = append(g.queue, near...)
+	if g.rounds%farRounds == 0 || len(near) < nearMembers {
+		g.queue = append(g.queue, far...)
 	}
+	g.rounds++
 	for i := len(g.queue) - 1; i > 0; i-- {
 		j := int(g.random() % uint64(i+1))
 		g.queue[i], g.queue[j] = g.queue[j], g.queue[i]
 	}
 }
 
+// others lists the members to ping, those of the own availability zone apart.
+func (g *Gossiper) others() (near, far []uint64) {
+	for _, member := range g.roster.Members() {
+		switch {
+		case member.Incarnation == g.self.Incarnation || member.State == registrar.StateGone:
+		case member.Zone == g.self.Zone:
+			near = append(near, member.Incarnation)
+		default:
+			far = append(far, member.Incarnation)
+		}
+	}
+	return near, far
+}
+
 // lonelySeed returns a seed whose process is not known to be alive, in turn.
 func (g *Gossiper) lonelySeed() (string, bool) {
 	for range g.seeds {
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -63,6 +63,8 @@
 	// Random is uniformly distributed.
 	Random     uint64
 	Idempotent bool
+	// SkipAvoided leaves out the servers that are passed over for now.
+	SkipAvoided bool
 	// Tried holds the incarnations to leave out, up to TriedCount.
 	Tried      [MaxTried]uint64
 	TriedCount int
@@ -152,7 +154,9 @@
 		return
 	}
 	if entry.Server.Avoided(query.Now) {
-		d.avoided.draw(i, &d.random)
+		if !query.SkipAvoided {
+			d.avoided.draw(i, &d.random)
+		}
 		return
 	}
 	d.busy.draw(i, &d.random)
--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -22,7 +22,7 @@
 	// refusedTime is how long a server that refuses as leaving or ejected is passed over.
 	refusedTime = time.Second
 	// probeGap is the least time between two probes of a silent path.
-	probeGap = 400 * time.Millisecond
+	probeGap = 1500 * time.Millisecond
 	// reportLifetime is how long a reported load counts for something.
 	reportLifetime = time.Second
 	// coldShare is the least share of its slots that a new server counts with.
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -107,7 +107,7 @@
 		return g.refuse(stream, head, *refused)
 	}
 	defer g.release()
-	body := &upload{stream: stream, left: head.BodyLength, ended: !head.BodyFollows}
+	body := &upload{stream: stream, left: head.BodyLength, ended: !head.BodyFollows && !head.Offer}
 	defer body.drain()
 	if err := g.awaitRelease(stream, work, body); err != nil {
 		return err
@@ -380,16 +380,25 @@
 	if !work.head.Offer {
 		return nil
 	}
-	released := make(chan error, 1)
-	go func() { released <- body.prefetch() }()
+	type release struct {
+		head *messenger.RequestHead
+		err  error
+	}
+	released := make(chan release, 1)
+	go func() {
+		head, err := body.prefetch()
+		released <- release{head: head, err: err}
+	}()
 	timer := time.NewTimer(releaseTimeout)
 	defer timer.Stop()
 	select {
-	case err := <-released:
-		if err != nil {
-			g.abandonOffer(work, err)
+	case got := <-released:
+		if got.err != nil {
+			g.abandonOffer(work, got.err)
+			return got.err
 		}
-		return err
+		work.head.Headers, work.head.Body, work.head.BodyFollows = got.head.Headers, got.head.Body, got.head.BodyFollows
+		return nil
 	case <-timer.C:
 		body.abandon()
 		g.abandonOffer(work, errNotReleased)
--- a/transport/guard/upload.go
+++ b/transport/guard/upload.go
@@ -19,15 +19,18 @@
 	abandoned bool
 }
 
-// prefetch waits for the first frame.
-func (u *upload) prefetch() error {
+// prefetch waits for the frame that releases an offered attempt and returns it.
+func (u *upload) prefetch() (*messenger.RequestHead, error) {
 	frame, err := u.stream.Recv()
 	if err != nil {
-		return fmt.Errorf("awaiting the release: %w", err)
+		return nil, fmt.Errorf("awaiting the release: %w", err)
 	}
-	u.rest = frame.GetData()
-	u.ended = frame.GetEnd()
-	return nil
+	head := frame.GetRequest()
+	if head == nil {
+		return nil, ErrProtocol
+	}
+	u.ended = !head.BodyFollows
+	return head, nil
 }
 
 // abandon leaves the stream to a prefetch that is still waiting.
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -86,7 +86,7 @@
 var errUnframed = eris.New("guard sent an unexpected frame")
 
 // pick chooses the server of the next attempt and logs nothing.
-func (r *Router) pick(request *call, tried []uint64) (tracker.Entry, picker.Reason) {
+func (r *Router) pick(request *call, tried []uint64, skipAvoided bool) (tracker.Entry, picker.Reason) {
 	lane := r.deps.Lanes.Lane(request.service.Name)
 	if lane == nil {
 		return tracker.Entry{}, picker.ReasonNone
@@ -98,6 +98,8 @@
 		Now:        r.deps.Now().Mono,
 		Random:     r.deps.Random(),
 		Idempotent: request.idempotent,
+
+		SkipAvoided: skipAvoided,
 	}
 	for _, incarnation := range tried {
 		query = query.WithTried(incarnation)
@@ -213,7 +215,6 @@
 		BudgetUs:    left.Microseconds(),
 		Method:      request.method,
 		Uri:         request.uri,
-		Headers:     request.headers,
 		BodyLength:  request.length,
 		Service:     request.service.Name,
 		Caller:      request.caller,
@@ -225,17 +226,33 @@
 		Earlier:     uint32(request.arrivals),
 		Offer:       !request.idempotent,
 	}
-	head.BodyFollows = head.Offer || request.long != nil || len(request.body) > inlineBodyBytes
+	if !head.Offer {
+		r.fill(request, head)
+	}
+	return head
+}
+
+// fill adds what a guard needs to run the attempt, with the body if it is short.
+func (r *Router) fill(request *call, head *messenger.RequestHead) {
+	head.Headers = request.headers
+	head.BodyFollows = request.long != nil || len(request.body) > inlineBodyBytes
 	if !head.BodyFollows {
 		head.Body = request.body
 	}
-	return head
 }
 
 // release sends what the guard waits for after it has admitted the attempt. A
 // failure ends the stream, which the guard sees.
 func (r *Router) release(request *call, outcome *result, head *messenger.RequestHead) {
 	outcome.released = true
+	if head.Offer {
+		r.fill(request, head)
+		rest := &messenger.RequestHead{Headers: head.Headers, Body: head.Body, BodyFollows: head.BodyFollows}
+		if err := outcome.stream.Send(&messenger.Frame{Part: &messenger.Frame_Request{Request: rest}}); err != nil {
+			r.deps.Log.Info("ReleaseBroken", "Request", request.id, "Error", err)
+			return
+		}
+	}
 	if !head.BodyFollows {
 		return
 	}
--- a/transport/router/search.go
+++ b/transport/router/search.go
@@ -35,16 +35,16 @@
 	s.asked++
 	soft := slices.Concat(s.busy, s.doubtful)
 	if len(soft) < softRefusals {
-		if entry, why := r.pick(request, slices.Concat(s.spent, soft)); entry.Server != nil {
+		if entry, why := r.pick(request, slices.Concat(s.spent, soft), true); entry.Server != nil {
 			return entry, why, false
 		}
 	}
 	if len(s.busy) > 0 {
-		if entry, why := r.pick(request, slices.Concat(s.spent, s.doubtful)); entry.Server != nil {
+		if entry, why := r.pick(request, slices.Concat(s.spent, s.doubtful), true); entry.Server != nil {
 			return entry, why, true
 		}
 	}
-	entry, why := r.pick(request, s.spent)
+	entry, why := r.pick(request, s.spent, false)
 	return entry, why, true
 }
 
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -20,7 +20,7 @@
 	// relayTimeout is how long a relayed ping may take in all.
 	relayTimeout = time.Second
 	// silenceToProbe is how long requests may be in flight without a sign before the path is probed.
-	silenceToProbe = 300 * time.Millisecond
+	silenceToProbe = 1500 * time.Millisecond
 	// enlistShare is how many times an entry on the log is renewed within the log's retention.
 	enlistShare = 3
 	// maxListed is how many processes, the longest running, renew their entries.
