retrier: Charge the calls of repeated runs where they arrive

Change: a request carries the likelihood that a repeated run of the server on its VM called it. Routes asked for while that server ran nothing are callers'. The guard charges its budget by the likelihood and refuses none. Ruled out: reading the parent from the request's id (its form is not told).

--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -42,14 +42,13 @@
 }
 
 const (
-	// ownShare is the part of the fleet's share that is spent on repeats
-	// themselves. The rest is for the calls that repeated requests make, which
-	// count as repeats where they arrive.
-	ownShare = 0.6
+	// ownShare is the part of the fleet's share that is given out. The rest
+	// covers what a server does not see, such as repeats that were lost on the way.
+	ownShare = 0.8
 	// steadySlack and savedSlack are the parts of the fleet's slack that are
 	// given out steadily and that may be saved up.
 	steadySlack = 0.3
-	savedSlack  = 0.4
+	savedSlack  = 0.45
 )
 
 // Allowance returns the part of one server among so many of its service.
@@ -65,7 +64,7 @@
 // Budget bounds retries and hedges at one backend server. It is safe for
 // concurrent use.
 type Budget struct {
-	// tokens is in thousandths, from 0 to burst.
+	// tokens is in thousandths, up to burst. Charges take it below 0.
 	tokens atomic.Int64
 	// share is in thousandths of a token for each first attempt.
 	share atomic.Int64
@@ -118,6 +117,10 @@
 	}
 }
 
+// Charge counts what can't be refused: the call of a repeated request, as far as
+// it is likely to be one. Later repeats wait until it is made up for.
+func (b *Budget) Charge(share float64) { b.add(-int64(share * milli)) }
+
 // Return gives back a token of a repeat that has not reached the backend server.
 func (b *Budget) Return() { b.add(milli) }
 
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -198,6 +198,7 @@
 	g.budget.Refill(now.Mono)
 	if work.head.Earlier == 0 {
 		g.budget.First()
+		g.budget.Charge(float64(work.head.Derived))
 		return true
 	}
 	return g.budget.Take()
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -106,6 +106,8 @@
 	breaker    *breaker.Breaker
 	// budget bounds the repeats that the backend server is given.
 	budget *retrier.Budget
+	// ancestry tells the calls of the backend server from callers' requests.
+	ancestry *retrier.Ancestry
 	// usual holds the usual service times by route.
 	usual *limiter.Usual
 	// running holds the requests that are at the backend server.
@@ -132,6 +134,7 @@
 		controller: controller.New(deps.Incarnation, deps.Now(), deps.Lifetime),
 		breaker:    breaker.New(0),
 		budget:     retrier.New(0),
+		ancestry:   retrier.NewAncestry(),
 		usual:      limiter.NewUsual(),
 		running:    map[uint64]*task{},
 		waiters:    map[uint64]chan bool{},
@@ -249,6 +252,20 @@
 	g.budget.SetAllowance(allowance(service))
 }
 
+// Derived returns how likely a request that begins on this VM was called by a
+// repeated run of the backend server.
+func (g *Guard) Derived(route uint64) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	repeats := 0
+	for _, work := range g.running {
+		if work.head.Earlier > 0 {
+			repeats++
+		}
+	}
+	return g.ancestry.Derived(route, len(g.running), repeats)
+}
+
 // Configure takes a newer version of the configuration.
 func (g *Guard) Configure() {
 	g.mu.Lock()
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -224,6 +224,7 @@
 		Rank:        request.route.Priority,
 		Insist:      insist,
 		Earlier:     uint32(request.arrivals),
+		Derived:     float32(request.derived),
 		Offer:       !request.idempotent,
 	}
 	if !head.Offer {
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -40,8 +40,10 @@
 	service    cataloger.Service
 	policy     cataloger.Policy
 	idempotent bool
-	key        string
-	keyMs      int64
+	// derived is the likelihood that a repeated run called the request.
+	derived float64
+	key     string
+	keyMs   int64
 	// bound is set if key is a bound key.
 	bound  claimer.BoundKey
 	caller uint64
@@ -108,6 +110,7 @@
 	}
 	request.route = route
 	request.routeHash = hashOf(route.Name)
+	request.derived = r.deps.Derived(request.routeHash)
 	request.service, _ = catalog.Service(route.Pick(r.point()))
 	request.policy, _ = catalog.Policy(request.service.Policy)
 	if request.length > request.service.MaxBodyBytes {
