limiter: Let calls go first, and bound the wait by the objective

Change: requests that the server of the VM may have called rank first, and a request waits for a slot no longer than half of its objective.

--- a/coordination/retrier/ancestry.go
+++ b/coordination/retrier/ancestry.go
@@ -16,6 +16,12 @@
 // NewAncestry returns an Ancestry that takes every route for one of calls.
 func NewAncestry() *Ancestry { return &Ancestry{callers: map[uint64]struct{}{}} }
 
+// Called tells whether a request of a route may have been called by the server.
+func (a *Ancestry) Called(route uint64, running int) bool {
+	_, known := a.callers[route]
+	return running > 0 && !known
+}
+
 // Derived returns the likelihood, from 0 to 1, for a request of a route that
 // comes while the server runs so many requests, some of them repeats.
 func (a *Ancestry) Derived(route uint64, running, repeats int) float64 {
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -249,6 +249,11 @@
 }
 
 func (g *Guard) wait(ctx context.Context, work *task, started chan bool) (*task, *refusal) {
+	if hold := work.head.HoldUs; hold > 0 {
+		held, cancel := context.WithTimeout(ctx, time.Duration(hold)*time.Microsecond)
+		defer cancel()
+		ctx = held
+	}
 	select {
 	case ok := <-started:
 		if ok {
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -252,9 +252,9 @@
 	g.budget.SetAllowance(allowance(service))
 }
 
-// Derived returns how likely a request that begins on this VM was called by a
-// repeated run of the backend server.
-func (g *Guard) Derived(route uint64) float64 {
+// Kinship tells whether a request that begins on this VM may have been called by
+// the backend server, and how likely the run that called it was a repeated one.
+func (g *Guard) Kinship(route uint64) (called bool, derived float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	repeats := 0
@@ -263,7 +263,8 @@
 			repeats++
 		}
 	}
-	return g.ancestry.Derived(route, len(g.running), repeats)
+	derived = g.ancestry.Derived(route, len(g.running), repeats)
+	return g.ancestry.Called(route, len(g.running)), derived
 }
 
 // Configure takes a newer version of the configuration.
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -40,7 +40,9 @@
 	service    cataloger.Service
 	policy     cataloger.Policy
 	idempotent bool
-	// derived is the likelihood that a repeated run called the request.
+	// called is set if the backend server of the VM may have called the request,
+	// and derived is the likelihood that a repeated run did.
+	called  bool
 	derived float64
 	key     string
 	keyMs   int64
@@ -60,6 +62,35 @@
 	return c.began.Add(c.patience)
 }
 
+// rank is the urgency among the requests that wait for one server. Calls come
+// first, since the run that waits for them holds a slot elsewhere.
+func (c *call) rank() uint32 {
+	if c.called {
+		return 0
+	}
+	return c.route.Priority + 1
+}
+
+const (
+	// holdShare is the part of its objective that a request may wait for a slot.
+	// One that waits longer would be late, and so would all behind it.
+	holdShare = 0.5
+	// calledHoldShare is the part of its patience that a call may wait.
+	calledHoldShare = 0.6
+)
+
+// hold is how long the request may wait for a slot in all, 0 for as long as its patience.
+func (c *call) hold() time.Duration {
+	switch {
+	case c.route.Objective == 0:
+		return 0
+	case c.called:
+		return time.Duration(calledHoldShare * float64(c.patience))
+	default:
+		return time.Duration(holdShare * float64(min(c.route.Objective, c.patience)))
+	}
+}
+
 // maxArrivals bounds the backend servers that may run the request.
 func (c *call) maxArrivals() int {
 	if c.route.MaxAttempts > 0 {
@@ -110,7 +141,7 @@
 	}
 	request.route = route
 	request.routeHash = hashOf(route.Name)
-	request.derived = r.deps.Derived(request.routeHash)
+	request.called, request.derived = r.deps.Kinship(request.routeHash)
 	request.service, _ = catalog.Service(route.Pick(r.point()))
 	request.policy, _ = catalog.Policy(request.service.Policy)
 	if request.length > request.service.MaxBodyBytes {
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -43,9 +43,10 @@
 	Callers interpreter.Callers
 	// Origin returns the service of the VM, told to backend servers with each request.
 	Origin func() string
-	// Derived returns how likely a request of a route, by the hash of its name,
-	// was called by a repeated run of the backend server of the VM.
-	Derived func(route uint64) float64
+	// Kinship tells whether a request of a route, by the hash of its name, may
+	// have been called by the backend server of the VM, and how likely the run
+	// that called it was a repeated one.
+	Kinship func(route uint64) (called bool, derived float64)
 	// Ready tells whether the process knows a configuration.
 	Ready func() bool
 	// Guard returns a client of the guard at an address.
--- a/transport/router/search.go
+++ b/transport/router/search.go
@@ -29,7 +29,7 @@
 // next returns the server to ask, and whether to insist. The entry's Server is
 // nil if there is none.
 func (s *search) next(r *Router, request *call) (tracker.Entry, picker.Reason, bool) {
-	if s.asked >= maxAsked {
+	if s.asked >= maxAsked || s.asked > 0 && r.heldOut(request) {
 		return tracker.Entry{}, picker.ReasonNone, false
 	}
 	s.asked++
@@ -60,3 +60,9 @@
 		s.doubtful = append(s.doubtful, incarnation)
 	}
 }
+
+// heldOut tells whether a request has waited for a slot for as long as it may.
+func (r *Router) heldOut(request *call) bool {
+	hold := request.hold()
+	return hold > 0 && request.arrivals == 0 && r.deps.Now().Since(request.began) >= hold
+}
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -191,7 +191,7 @@
 		Guard:       r.connector.Guard,
 		Callers:     r.deps.Callers,
 		Origin:      func() string { return r.settings.Load().Service },
-		Derived:     r.guard.Derived,
+		Kinship:     r.guard.Kinship,
 		Ready:       func() bool { return r.deps.Source == nil || r.configured() },
 		KeyPath:     r.keyPath(),
 		Claim:       r.claims.Claim,
