limiter: Refuse at once what more urgent work would keep waiting too long

Cause: what is refused after a wait costs its worth; a starved rank queued until its hold was over since only those ahead of it were counted. Change: the expected wait counts the rate of more urgent admissions too, and a request that would wait longer than its hold is refused on arrival.

--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
@@ -63,6 +64,30 @@
 	// queue holds waiting requests by rank, then in order of arrival, at most maxQueue.
 	queue   *list.List
 	service time.Duration
+	// rates holds the admissions of each rank; ranks above the last share it.
+	rates [ratedRanks]rate
+}
+
+// ratedRanks is how many ranks have rates of their own.
+const ratedRanks = 8
+
+// rateTime is the time over which a rate is smoothed.
+const rateTime = 2 * time.Second
+
+// rate counts events with an exponential decay over rateTime.
+type rate struct {
+	count float64
+	at    clocker.Instant
+}
+
+// perSecond returns the rate at a time.
+func (r *rate) perSecond(now clocker.Instant) float64 {
+	return r.count * math.Exp(-now.Since(r.at).Seconds()/rateTime.Seconds()) / rateTime.Seconds()
+}
+
+func (r *rate) add(now clocker.Instant) {
+	r.count = r.perSecond(now)*rateTime.Seconds() + 1
+	r.at = now
 }
 
 // New returns a limiter for a server with the given slots and queue length.
@@ -88,23 +113,35 @@
 // Admit decides on a request that arrives now. An idle server takes any request
 // that is not past its deadline, so that a high estimate can come down again.
 func (l *Limiter) Admit(now clocker.Instant, id uint64, deadline clocker.Instant) Decision {
-	return l.AdmitRanked(now, id, deadline, 0)
+	return l.AdmitRanked(now, Request{ID: id, Deadline: deadline})
+}
+
+// Request is one that asks for a slot.
+type Request struct {
+	ID       uint64
+	Deadline clocker.Instant
+	// Rank is the urgency; 0 is the most urgent.
+	Rank uint32
+	// Hold is how long it may wait for a slot, 0 for as long as it has time.
+	Hold time.Duration
 }
 
 // AdmitRanked is Admit for a request of some urgency. A more urgent one, of
 // lower rank, starts before all less urgent ones that wait.
-func (l *Limiter) AdmitRanked(now clocker.Instant, id uint64, deadline clocker.Instant, rank uint32) Decision {
-	if l.tooLate(now, deadline, l.expectedWait(rank)) {
+func (l *Limiter) AdmitRanked(now clocker.Instant, request Request) Decision {
+	wait := l.expectedWait(now, request.Rank)
+	if l.tooLate(now, request.Deadline, wait) || request.Hold > 0 && wait > request.Hold {
 		return RefusedLate
 	}
+	if l.inFlight >= l.slots && l.queue.Len() >= l.maxQueue {
+		return RefusedFull
+	}
+	l.rates[min(request.Rank, ratedRanks-1)].add(now)
 	if l.inFlight < l.slots {
 		l.inFlight++
 		return Started
 	}
-	if l.queue.Len() >= l.maxQueue {
-		return RefusedFull
-	}
-	l.insert(waiting{id: id, deadline: deadline, rank: rank})
+	l.insert(waiting{id: request.ID, deadline: request.Deadline, rank: request.Rank})
 	return Queued
 }
 
@@ -122,17 +159,28 @@
 // Free tells whether a request would start at once.
 func (l *Limiter) Free() bool { return l.inFlight < l.slots && l.queue.Len() == 0 }
 
-func (l *Limiter) expectedWait(rank uint32) time.Duration {
-	if l.inFlight < l.slots || l.slots == 0 {
+// expectedWait is how long a request of some rank would wait: for those ahead
+// of it, and for the more urgent ones that come meanwhile.
+func (l *Limiter) expectedWait(now clocker.Instant, rank uint32) time.Duration {
+	if l.inFlight < l.slots || l.slots == 0 || l.service == 0 {
 		return 0
 	}
-	ahead := 0
+	ahead := 1
 	for element := l.queue.Front(); element != nil && element.Value.(waiting).rank <= rank; element = element.Next() {
 		ahead++
 	}
-	return l.service * time.Duration(ahead+1) / time.Duration(l.slots)
+	starts := float64(l.slots) / l.service.Seconds()
+	left := starts
+	for urgent := range min(rank, ratedRanks-1) {
+		left -= l.rates[urgent].perSecond(now)
+	}
+	return time.Duration(float64(ahead) / max(left, leastShare*starts) * float64(time.Second))
 }
 
+// leastShare is the part of a server's starts that is left to the least urgent
+// requests, however many more urgent ones come.
+const leastShare = 0.05
+
 func (l *Limiter) tooLate(now, deadline clocker.Instant, wait time.Duration) bool {
 	left := -now.Since(deadline)
 	if left <= 0 {
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -184,7 +184,10 @@
 	if !g.takeBudget(now, work) {
 		return 0, reasonNoBudget
 	}
-	decision := g.limiter.AdmitRanked(now, work.id, work.deadline, work.head.Rank)
+	decision := g.limiter.AdmitRanked(now, limiter.Request{
+		ID: work.id, Deadline: work.deadline, Rank: work.head.Rank,
+		Hold: time.Duration(work.head.HoldUs) * time.Microsecond,
+	})
 	if decision == limiter.Started || decision == limiter.Queued {
 		return decision, ""
 	}
