--- /dev/null
+++ b/coordination/breaker/breaker_test.go
@@ -0,0 +1,91 @@
+package breaker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtailhall/foxtailhall/coordination/breaker"
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+)
+
+const pause = time.Second
+
+func at(after time.Duration) clocker.Instant {
+	return clocker.Instant{Mono: after, Wall: after}
+}
+
+func opened(t *testing.T) *breaker.Breaker {
+	t.Helper()
+	b := breaker.New(pause)
+	require.True(t, b.Bad(at(0)))
+	return b
+}
+
+func requireState(t *testing.T, b *breaker.Breaker, now time.Duration, want breaker.State) {
+	t.Helper()
+	require.Equal(t, want.String(), b.State(at(now)).String())
+}
+
+func TestBreaker(t *testing.T) {
+	t.Run("OpensAtOneFailure", func(t *testing.T) {
+		b := opened(t)
+		requireState(t, b, pause/2, breaker.Open)
+		require.False(t, b.Allow(at(pause/2), true, false))
+	})
+	t.Run("WhoInsistsPasses", func(t *testing.T) {
+		require.True(t, opened(t).Allow(at(pause/2), false, true))
+	})
+	t.Run("FirstTrialsAreIdempotent", func(t *testing.T) {
+		b := opened(t)
+		require.False(t, b.Allow(at(pause), false, false))
+		require.True(t, b.Allow(at(pause), true, false))
+	})
+	t.Run("OneTrialAtATime", func(t *testing.T) {
+		b := opened(t)
+		require.True(t, b.Allow(at(pause), true, false))
+		require.False(t, b.Allow(at(pause+time.Millisecond), true, false))
+	})
+	t.Run("OneGoodAnswerDoesNotClose", func(t *testing.T) {
+		b := opened(t)
+		require.True(t, b.Allow(at(pause), true, false))
+		b.Good(at(pause))
+		requireState(t, b, pause, breaker.HalfOpen)
+		require.False(t, b.Allow(at(pause), false, false))
+	})
+	t.Run("ThreeGoodAnswersClose", func(t *testing.T) {
+		b := opened(t)
+		for range 3 {
+			require.True(t, b.Allow(at(pause), true, false))
+			b.Good(at(pause))
+		}
+		requireState(t, b, pause, breaker.Closed)
+	})
+	t.Run("AnswersOfBeforeTheFailureProveNothing", func(t *testing.T) {
+		b := opened(t)
+		for range 5 {
+			b.Good(at(pause / 2))
+		}
+		requireState(t, b, pause/2, breaker.Open)
+	})
+	t.Run("PauseStaysBelowTwoSeconds", func(t *testing.T) {
+		b := opened(t)
+		now := time.Duration(0)
+		for range 10 {
+			now += 2 * pause
+			requireState(t, b, now, breaker.HalfOpen)
+			require.True(t, b.Bad(at(now)))
+		}
+	})
+	t.Run("WithoutIdempotentRequestsOthersAreTried", func(t *testing.T) {
+		b := opened(t)
+		requireState(t, b, pause, breaker.HalfOpen)
+		require.True(t, b.Allow(at(pause+5*time.Second), false, false))
+	})
+	t.Run("NoPauseNeverOpens", func(t *testing.T) {
+		b := breaker.New(0)
+		require.False(t, b.Bad(at(0)))
+		require.True(t, b.Allow(at(0), false, false))
+	})
+}
--- /dev/null
+++ b/transport/acceptor/acceptor_test.go
@@ -0,0 +1,383 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/transport/acceptor"
+)
+
+// patience bounds each wait of these tests; none depends on how long it takes.
+const patience = 10 * time.Second
+
+// door is an acceptor whose requests wait until the test lets them go.
+type door struct {
+	t        *testing.T
+	acceptor *acceptor.Acceptor
+	address  string
+
+	mu      sync.Mutex
+	limits  cataloger.Limits
+	held    map[string]chan struct{}
+	seen    map[string]string
+	gone    chan string
+	started chan string
+}
+
+func open(t *testing.T) *door {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &door{
+		t: t, address: free.Addr().String(), limits: cataloger.DefaultLimits(),
+		held: map[string]chan struct{}{}, seen: map[string]string{},
+		gone: make(chan string, 100), started: make(chan string, 100),
+	}
+	require.NoError(t, free.Close())
+	d.acceptor = acceptor.New(d.address, acceptor.Dependencies{
+		Log: slog.New(slog.DiscardHandler), Limits: d.limitsNow, Handle: d.handle,
+		Malformed: func(_ *protocol.RequestHeader, status int, reason string) *protocol.Response {
+			return answer(status, reason)
+		},
+	})
+	require.NoError(t, d.acceptor.Listen())
+	go func() { _ = d.acceptor.Run() }()
+	t.Cleanup(d.acceptor.Close)
+	return d
+}
+
+func (d *door) limitsNow() cataloger.Limits {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.limits
+}
+
+func (d *door) setLimits(change func(*cataloger.Limits)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(&d.limits)
+}
+
+// hold makes requests for a path wait; the function returned lets them go.
+func (d *door) hold(path string) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	gate := make(chan struct{})
+	d.held[path] = gate
+	return func() { close(gate) }
+}
+
+func answer(status int, body string) *protocol.Response {
+	response := &protocol.Response{}
+	response.SetStatusCode(status)
+	response.SetBodyString(body)
+	return response
+}
+
+func (d *door) handle(ctx context.Context, request *acceptor.Request) *protocol.Response {
+	path := string(request.Header.RequestURI())
+	body := string(request.Body)
+	if request.Stream != nil {
+		rest, err := io.ReadAll(request.Stream)
+		if err != nil {
+			return answer(http.StatusBadRequest, "Broken")
+		}
+		body = string(rest)
+	}
+	d.mu.Lock()
+	gate := d.held[path]
+	d.seen[path] = body
+	d.mu.Unlock()
+	d.started <- path
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-ctx.Done():
+			d.gone <- path
+			return answer(http.StatusBadGateway, "Gone")
+		}
+	}
+	return answer(http.StatusOK, "to "+path)
+}
+
+func (d *door) dial() (net.Conn, *bufio.Reader) {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", d.address)
+	require.NoError(d.t, err)
+	require.NoError(d.t, conn.SetDeadline(time.Now().Add(patience)))
+	d.t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func (d *door) requireNext(from chan string, want string) {
+	d.t.Helper()
+	select {
+	case got := <-from:
+		require.Equal(d.t, want, got)
+	case <-time.After(patience):
+		require.Fail(d.t, "nothing came", want)
+	}
+}
+
+func requireAnswer(t *testing.T, in *bufio.Reader, status int, body string) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	got, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, status, response.StatusCode)
+	require.Equal(t, body, string(got))
+	return response
+}
+
+func requireClosed(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	_, err := in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func get(path string, fields ...string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: x\r\n" + strings.Join(append(fields, "", ""), "\r\n")
+}
+
+func TestRequestsSentAhead(t *testing.T) {
+	d := open(t)
+	release := d.hold("/slow")
+	conn, in := d.dial()
+	_, err := io.WriteString(conn, get("/slow")+get("/quick"))
+	require.NoError(t, err)
+	started := map[string]bool{<-d.started: true, <-d.started: true}
+	require.Equal(t, map[string]bool{"/slow": true, "/quick": true}, started, "both run side by side")
+	release()
+	requireAnswer(t, in, http.StatusOK, "to /slow")
+	requireAnswer(t, in, http.StatusOK, "to /quick")
+}
+
+func TestCloseOfTheCallerEndsItsRequests(t *testing.T) {
+	d := open(t)
+	d.hold("/a")
+	conn, _ := d.dial()
+	_, err := io.WriteString(conn, get("/a"))
+	require.NoError(t, err)
+	d.requireNext(d.started, "/a")
+	require.NoError(t, conn.Close())
+	d.requireNext(d.gone, "/a")
+}
+
+func TestCloseAfterTheLastRequestIsSeen(t *testing.T) {
+	d := open(t)
+	d.hold("/a")
+	conn, _ := d.dial()
+	_, err := io.WriteString(conn, get("/a", "Connection: close"))
+	require.NoError(t, err)
+	d.requireNext(d.started, "/a")
+	require.NoError(t, conn.Close())
+	d.requireNext(d.gone, "/a")
+}
+
+func TestConnectionClose(t *testing.T) {
+	d := open(t)
+	conn, in := d.dial()
+	_, err := io.WriteString(conn, get("/a", "Connection: close")+get("/never"))
+	require.NoError(t, err)
+	response := requireAnswer(t, in, http.StatusOK, "to /a")
+	require.True(t, response.Close)
+	requireClosed(t, in)
+	require.NotContains(t, d.seen, "/never", "a request behind a close is not read")
+}
+
+func TestIdleConnections(t *testing.T) {
+	t.Run("AreClosed", func(t *testing.T) {
+		d := open(t)
+		d.setLimits(func(l *cataloger.Limits) { l.IdleTimeout = 50 * time.Millisecond })
+		_, in := d.dial()
+		requireClosed(t, in)
+	})
+	t.Run("AreKeptWhileARequestRuns", func(t *testing.T) {
+		d := open(t)
+		d.setLimits(func(l *cataloger.Limits) { l.IdleTimeout = 20 * time.Millisecond })
+		release := d.hold("/a")
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, get("/a"))
+		require.NoError(t, err)
+		d.requireNext(d.started, "/a")
+		time.Sleep(100 * time.Millisecond)
+		release()
+		requireAnswer(t, in, http.StatusOK, "to /a")
+	})
+}
+
+func TestSlowHeadIsRefused(t *testing.T) {
+	d := open(t)
+	d.setLimits(func(l *cataloger.Limits) { l.HeaderTimeout = 50 * time.Millisecond })
+	conn, in := d.dial()
+	_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHos")
+	require.NoError(t, err)
+	requireAnswer(t, in, http.StatusRequestTimeout, "HeadTimeout")
+	requireClosed(t, in)
+}
+
+func TestMalformedHeadsReachNoHandler(t *testing.T) {
+	for name, head := range map[string]string{
+		"TwoLengths":           "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		"LengthAndChunks":      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"ChunkedTwice":         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"OtherEncoding":        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"SignedLength":         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc",
+		"SpaceBeforeColon":     "GET /a HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc",
+		"FoldedLine":           "GET /a HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n",
+		"BareLineFeed":         "GET /a HTTP/1.1\nHost: x\r\n\r\n",
+		"BareLineFeedInField":  "GET /a HTTP/1.1\r\nHost: x\r\nA: b\nContent-Length: 3\r\n\r\n",
+		"NulInField":           "GET /a HTTP/1.1\r\nHost: x\r\nA: b\x00\r\n\r\n",
+		"NoHost":               "GET /a HTTP/1.1\r\n\r\n",
+		"TwoHosts":             "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+		"NoColon":              "GET /a HTTP/1.1\r\nHost: x\r\nnonsense\r\n\r\n",
+		"OtherProtocol":        "GET /a HTTP/3.0\r\nHost: x\r\n\r\n",
+		"ThreeSpaces":          "GET /a b HTTP/1.1\r\nHost: x\r\n\r\n",
+		"AbsoluteTarget":       "GET http://x/a HTTP/1.1\r\nHost: x\r\n\r\n",
+		"ChunksOfOldProtocol":  "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"ControlCharInTarget":  "GET /a\tb HTTP/1.1\r\nHost: x\r\n\r\n",
+		"EmptyFieldName":       "GET /a HTTP/1.1\r\nHost: x\r\n: b\r\n\r\n",
+		"ListedContentLengths": "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 3\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := open(t)
+			conn, in := d.dial()
+			_, err := io.WriteString(conn, head+get("/smuggled"))
+			require.NoError(t, err)
+			requireAnswer(t, in, http.StatusBadRequest, "MalformedHead")
+			require.Empty(t, d.seen)
+		})
+	}
+}
+
+func TestHeadTooLong(t *testing.T) {
+	d := open(t)
+	d.setLimits(func(l *cataloger.Limits) { l.HeaderBytes = 1024 })
+	conn, in := d.dial()
+	_, err := io.WriteString(conn, get("/a", "Long: "+strings.Repeat("x", 2000)))
+	require.NoError(t, err)
+	requireAnswer(t, in, http.StatusRequestHeaderFieldsTooLarge, "HeadTooLong")
+}
+
+func TestBodies(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", acceptor.KeptBodyBytes/8)
+	t.Run("KeptWhole", func(t *testing.T) {
+		requireBody(t, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", "abc")
+	})
+	t.Run("Chunked", func(t *testing.T) {
+		requireBody(t, "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", "abc")
+	})
+	t.Run("StreamedByLength", func(t *testing.T) {
+		requireBody(t, fmt.Sprintf("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(long), long), long)
+	})
+	t.Run("StreamedInChunks", func(t *testing.T) {
+		requireBody(t, fmt.Sprintf("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+			len(long), long), long)
+	})
+	t.Run("BadChunkReachesNoHandler", func(t *testing.T) {
+		d := open(t)
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n"+get("/b"))
+		require.NoError(t, err)
+		requireAnswer(t, in, http.StatusBadRequest, "HalfRequest")
+		requireClosed(t, in)
+		require.Empty(t, d.seen)
+	})
+	t.Run("TooLong", func(t *testing.T) {
+		d := open(t)
+		d.setLimits(func(l *cataloger.Limits) { l.BodyBytes = 10 })
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n")
+		require.NoError(t, err)
+		requireAnswer(t, in, http.StatusRequestEntityTooLarge, "BodyTooLarge")
+	})
+	t.Run("ChunksTooLong", func(t *testing.T) {
+		d := open(t)
+		d.setLimits(func(l *cataloger.Limits) { l.BodyBytes = 3 })
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n")
+		require.NoError(t, err)
+		requireAnswer(t, in, http.StatusRequestEntityTooLarge, "BodyTooLarge")
+	})
+	t.Run("ContinueIsSentFirst", func(t *testing.T) {
+		d := open(t)
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+		require.NoError(t, err)
+		line, err := in.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, "HTTP/1.1 100 Continue\r\n", line)
+		_, err = in.ReadString('\n')
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "abc")
+		require.NoError(t, err)
+		requireAnswer(t, in, http.StatusOK, "to /a")
+	})
+}
+
+// requireBody sends a request, and one more behind it on the same connection.
+func requireBody(t *testing.T, request, body string) {
+	t.Helper()
+	d := open(t)
+	conn, in := d.dial()
+	go func() { _, _ = io.WriteString(conn, request+get("/next")) }()
+	requireAnswer(t, in, http.StatusOK, "to /a")
+	requireAnswer(t, in, http.StatusOK, "to /next")
+	require.Equal(t, body, d.seen["/a"])
+}
+
+func TestDrain(t *testing.T) {
+	t.Run("IdleConnectionsEnd", func(t *testing.T) {
+		d := open(t)
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, get("/a"))
+		require.NoError(t, err)
+		requireAnswer(t, in, http.StatusOK, "to /a")
+		d.acceptor.Drain()
+		requireClosed(t, in)
+	})
+	t.Run("ARunningRequestIsAnswered", func(t *testing.T) {
+		d := open(t)
+		release := d.hold("/a")
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, get("/a"))
+		require.NoError(t, err)
+		d.requireNext(d.started, "/a")
+		d.acceptor.Drain()
+		release()
+		requireAnswer(t, in, http.StatusOK, "to /a")
+		requireClosed(t, in)
+	})
+	t.Run("ANewConnectionIsServedOnce", func(t *testing.T) {
+		d := open(t)
+		d.acceptor.Drain()
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, get("/a"))
+		require.NoError(t, err)
+		require.True(t, requireAnswer(t, in, http.StatusOK, "to /a").Close)
+	})
+	t.Run("CanceledRequestsAreStillAnswered", func(t *testing.T) {
+		d := open(t)
+		d.hold("/a")
+		conn, in := d.dial()
+		_, err := io.WriteString(conn, get("/a"))
+		require.NoError(t, err)
+		d.requireNext(d.started, "/a")
+		d.acceptor.Cancel()
+		requireAnswer(t, in, http.StatusBadGateway, "Gone")
+	})
+}
--- a/transport/acceptor/body.go
+++ b/transport/acceptor/body.go
@@ -37,6 +37,10 @@
 // Read returns io.EOF only at the body's true end.
 func (s *Stream) Read(buffer []byte) (int, error) {
 	_ = s.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if len(buffer) > headBufferBytes {
+		// The chunk reader peeks at as many bytes as it is asked for.
+		buffer = buffer[:headBufferBytes]
+	}
 	n, err := s.source.Read(buffer)
 	s.left -= int64(n)
 	switch {
--- a/transport/acceptor/connection.go
+++ b/transport/acceptor/connection.go
@@ -53,6 +53,8 @@
 	mu sync.Mutex
 	// busy is set from the first byte of a head until its turn is taken.
 	busy bool
+	// served is set once a request was read. Only the reader uses it.
+	served bool
 }
 
 func newConnection(a *Acceptor, raw net.Conn) *connection {
@@ -117,7 +119,7 @@
 		c.mu.Lock()
 		c.busy = false
 		c.mu.Unlock()
-		if c.acceptor.closing.Load() && c.in.Buffered() == 0 && c.pending.Load() == 0 {
+		if c.served && c.acceptor.closing.Load() && c.in.Buffered() == 0 && c.pending.Load() == 0 {
 			return errIdle
 		}
 		_ = c.raw.SetReadDeadline(c.idleUntil())
@@ -139,12 +141,19 @@
 
 func (c *connection) idleUntil() time.Time {
 	idle := c.acceptor.deps.Limits().IdleTimeout
+	if c.acceptor.closing.Load() {
+		idle = min(idle, firstRequestTime)
+	}
 	if c.pending.Load() > 0 {
 		return time.Now().Add(idle)
 	}
 	return time.Unix(0, c.quietSince.Load()).Add(idle)
 }
 
+// firstRequestTime is how long a connection that comes while the acceptor
+// drains may take to its first request.
+const firstRequestTime = time.Second
+
 // closeIfIdle wakes a waiting reader, so that it ends an idle connection.
 func (c *connection) closeIfIdle() {
 	c.mu.Lock()
@@ -171,6 +180,7 @@
 	if err != nil {
 		return true, c.refuseHead(err)
 	}
+	c.served = true
 	c.acceptor.active.Add(1)
 	c.pending.Add(1)
 	last := frame.close || c.acceptor.closing.Load()
@@ -285,9 +295,14 @@
 func (c *connection) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && c.pending.Load() == 0 {
-		_ = c.raw.SetReadDeadline(time.Now().Add(c.acceptor.deps.Limits().IdleTimeout))
+	if c.busy || c.pending.Load() > 0 {
+		return
+	}
+	until := time.Now()
+	if !c.acceptor.closing.Load() {
+		until = until.Add(c.acceptor.deps.Limits().IdleTimeout)
 	}
+	_ = c.raw.SetReadDeadline(until)
 }
 
 func (c *connection) flush(write func() error) bool {
--- /dev/null
+++ b/transport/deliverer/deliverer_test.go
@@ -0,0 +1,222 @@
+package deliverer_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtailhall/foxtailhall/transport/deliverer"
+)
+
+const patience = 10 * time.Second
+
+// server answers each connection with a script of its own.
+type server struct {
+	t        *testing.T
+	listener net.Listener
+	// connections counts those accepted; it is read after the exchanges.
+	connections chan net.Conn
+}
+
+func serve(t *testing.T, script func(conn net.Conn, in *bufio.Reader)) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &server{t: t, listener: listener, connections: make(chan net.Conn, 10)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections <- conn
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return s
+}
+
+func readRequest(in *bufio.Reader) (*http.Request, bool) {
+	request, err := http.ReadRequest(in)
+	if err != nil {
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return request, err == nil
+}
+
+func (s *server) deliverer() *deliverer.Deliverer {
+	d := deliverer.New(4)
+	d.SetAddress(s.listener.Addr().String())
+	return d
+}
+
+// judge skips answers that name another request than the one sent.
+func judge(id string) deliverer.Judge {
+	return func(header *protocol.ResponseHeader) (bool, time.Duration) {
+		got := string(header.Peek("Id"))
+		return got != "" && got != id, 0
+	}
+}
+
+func send(t *testing.T, d *deliverer.Deliverer, id string, body io.Reader, length int) (*deliverer.Exchange, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	request := &protocol.Request{}
+	request.SetMethod("POST")
+	request.Header.SetHost("x")
+	request.Header.SetRequestURI("/" + id)
+	if body != nil {
+		request.SetBodyStream(body, length)
+	}
+	return d.Send(ctx, request, judge(id), func() {})
+}
+
+func requireBody(t *testing.T, d *deliverer.Deliverer, id, want string) {
+	t.Helper()
+	exchange, err := send(t, d, id, nil, 0)
+	require.NoError(t, err)
+	got, err := io.ReadAll(exchange)
+	require.NoError(t, err)
+	require.Equal(t, want, string(got))
+	exchange.Close()
+}
+
+func TestKeptConnections(t *testing.T) {
+	t.Run("AreUsedAgain", func(t *testing.T) {
+		s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+			for {
+				request, ok := readRequest(in)
+				if !ok {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"+request.URL.Path)
+			}
+		})
+		d := s.deliverer()
+		requireBody(t, d, "a", "/a")
+		requireBody(t, d, "b", "/b")
+		require.Len(t, s.connections, 1)
+	})
+	t.Run("AreDroppedWithBytesLeftOver", func(t *testing.T) {
+		s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+			for {
+				request, ok := readRequest(in)
+				if !ok {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"+request.URL.Path+"surplus")
+			}
+		})
+		d := s.deliverer()
+		requireBody(t, d, "a", "/a")
+		requireBody(t, d, "b", "/b")
+		require.Len(t, s.connections, 2)
+	})
+}
+
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, ok := readRequest(in); !ok {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"+
+			"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nright")
+		_, _ = in.ReadByte()
+	})
+	requireBody(t, s.deliverer(), "a", "right")
+}
+
+func TestBodiesThatEndWithTheConnection(t *testing.T) {
+	s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, ok := readRequest(in); ok {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		}
+	})
+	d := s.deliverer()
+	requireBody(t, d, "a", "all of it")
+	requireBody(t, d, "b", "all of it")
+}
+
+func TestCutAnswersNeverLookWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"ByLength":  "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf",
+		"ByChunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+		"LastChunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, ok := readRequest(in); ok {
+					_, _ = io.WriteString(conn, answer)
+				}
+			})
+			exchange, err := send(t, s.deliverer(), "a", nil, 0)
+			require.NoError(t, err)
+			defer exchange.Close()
+			_, err = io.ReadAll(exchange)
+			require.Error(t, err)
+			require.False(t, exchange.Whole())
+		})
+	}
+	t.Run("ByReset", func(t *testing.T) {
+		s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+			if _, ok := readRequest(in); ok {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		exchange, err := send(t, s.deliverer(), "a", nil, 0)
+		if err != nil {
+			return
+		}
+		defer exchange.Close()
+		_, err = io.ReadAll(exchange)
+		require.Error(t, err)
+	})
+}
+
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		_, err := http.ReadRequest(in)
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nearly")
+		}
+		_, _ = io.Copy(io.Discard, in)
+	})
+	d := s.deliverer()
+	stalled, feed := io.Pipe()
+	go func() { _, _ = io.WriteString(feed, strings.Repeat("x", 1000)) }()
+	exchange, err := send(t, d, "a", stalled, 1<<20)
+	require.NoError(t, err, "the answer is read before the body is sent")
+	require.Equal(t, http.StatusRequestEntityTooLarge, exchange.Response.StatusCode())
+	_ = feed.CloseWithError(io.ErrUnexpectedEOF)
+	exchange.Close()
+	exchange, err = send(t, d, "b", strings.NewReader("y"), 1)
+	require.NoError(t, err)
+	exchange.Close()
+	require.Len(t, s.connections, 2, "a connection with a body half sent is not used again")
+}
+
+func TestUnreachableServer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	d := deliverer.New(1)
+	d.SetAddress(address)
+	_, err = send(t, d, "a", nil, 0)
+	require.ErrorIs(t, err, deliverer.ErrNotSent)
+}
