breaker: Weigh failures, and close after two good trials

Error answers after a long run come from failed calls as often as from the server; three trials one by one took longer than the spells. Change: an error answer later than half of the usual time opens the breaker only in pairs; two trials run side by side and two good answers close it.

--- a/coordination/breaker/breaker.go
+++ b/coordination/breaker/breaker.go
@@ -16,7 +16,14 @@
 	trialTimeout = time.Second
 	// trialsNeeded is how many good answers in a row close the breaker. A server
 	// that fails most of its requests still answers some.
-	trialsNeeded = 3
+	trialsNeeded = 2
+	// maxTrials bounds the trials at one time.
+	maxTrials = 2
+	// Sure is the weight of a failure that opens the breaker alone.
+	Sure = 1.0
+	// Doubtful is the weight of a failure that others may have caused, such as an
+	// error after a long run that may have called other servers.
+	Doubtful = 0.5
 	// idempotentOnly is how long only idempotent requests are trials. Without
 	// any, the server would never be tried again.
 	idempotentOnly = 4 * time.Second
@@ -53,7 +60,11 @@
 	until clocker.Instant
 	// pause is that of the present series of failures.
 	pause time.Duration
-	// trialSince is when the trial of the state HalfOpen began; zero without one.
+	// weight sums the failures since the last good answer of the state Closed.
+	weight float64
+	// trials counts the trials of the state HalfOpen, and trialSince is when the
+	// latest began.
+	trials     int
 	trialSince clocker.Instant
 	// halfOpenSince is when the state HalfOpen began.
 	halfOpenSince clocker.Instant
@@ -73,7 +84,7 @@
 	if b.state == Open && now.Since(b.until) >= 0 {
 		b.state = HalfOpen
 		b.halfOpenSince = now
-		b.trialSince = clocker.Instant{}
+		b.trials = 0
 		b.good = 0
 	}
 	return b.state
@@ -92,34 +103,46 @@
 	}
 }
 
-// allowTrial lets one request through; any kind once idempotent ones stay away.
+// allowTrial lets few requests through; any kind once idempotent ones stay away.
 func (b *Breaker) allowTrial(now clocker.Instant, idempotent bool) bool {
-	running := b.trialSince != (clocker.Instant{}) && now.Since(b.trialSince) < trialTimeout
-	if running || !idempotent && now.Since(b.halfOpenSince) < idempotentOnly {
+	if b.trials > 0 && now.Since(b.trialSince) >= trialTimeout {
+		b.trials = 0
+	}
+	if b.trials >= maxTrials || !idempotent && now.Since(b.halfOpenSince) < idempotentOnly {
 		return false
 	}
+	b.trials++
 	b.trialSince = now
 	return true
 }
 
 // Good notes an answer that shows the server to work.
 func (b *Breaker) Good(now clocker.Instant) {
-	if b.State(now) != HalfOpen {
-		return
-	}
-	b.trialSince = clocker.Instant{}
-	b.good++
-	if b.good >= trialsNeeded {
-		b.state = Closed
-		b.pause = 0
+	switch b.State(now) {
+	case Closed:
+		b.weight = 0
+	case HalfOpen:
+		b.trials = max(0, b.trials-1)
+		b.good++
+		if b.good >= trialsNeeded {
+			b.state = Closed
+			b.weight = 0
+			b.pause = 0
+		}
 	}
 }
 
-// Bad notes a failure of the server and returns true if the breaker opens by it.
-func (b *Breaker) Bad(now clocker.Instant) bool {
+// Bad notes a failure of the server, Sure or Doubtful, and returns true if the
+// breaker opens by it.
+func (b *Breaker) Bad(now clocker.Instant, weight float64) bool {
 	if b.first == 0 || b.State(now) == Open {
 		return false
 	}
+	b.weight += weight
+	if b.weight < Sure {
+		return false
+	}
+	b.weight = 0
 	b.pause = min(max(2*b.pause, b.first), time.Duration(maxFactor*float64(b.first)))
 	b.state = Open
 	b.until = now.Add(b.pause)
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -88,7 +88,7 @@
 		g.breaker.Good(now)
 		g.heard = now
 	case !late:
-		g.noteFailure(now, work, "ErrorAnswer")
+		g.noteFailure(now, work, reasonErrorAnswer)
 	}
 	if ended {
 		g.finish(now, work, dispatcher.StateDone, status, kept(work, exchange, first))
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/rotisserie/eris"
 
+	"github.com/foxtailhall/foxtailhall/coordination/breaker"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
 	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
@@ -87,6 +88,8 @@
 	reasonLeaving  = "Leaving"
 	reasonEjected  = "Ejected"
 	reasonNoBudget = "NoBudget"
+	// reasonErrorAnswer is an error status of the server's own.
+	reasonErrorAnswer = "ErrorAnswer"
 )
 
 // Forward carries one attempt.
@@ -516,9 +519,22 @@
 	return g.refuse(stream, work.head, refusal{outcome: answerer.OutcomeNotRun, reason: reason, arrived: true})
 }
 
+// promptShare is the part of its usual time within which an error answer comes
+// from the server itself. A later one may come from a failed call.
+const promptShare = 0.5
+
+// weightOf is how surely a failure is the server's own.
+func (g *Guard) weightOf(now clocker.Instant, work *task, reason string) float64 {
+	usual := g.usual.Time(work.head.Route)
+	if reason == reasonErrorAnswer && usual > 0 && now.Since(work.sent) > time.Duration(promptShare*float64(usual)) {
+		return breaker.Doubtful
+	}
+	return breaker.Sure
+}
+
 // noteFailure tells the breaker of a failure of the server. The lock is held.
 func (g *Guard) noteFailure(now clocker.Instant, work *task, reason string) {
-	if g.breaker.Bad(now) {
+	if g.breaker.Bad(now, g.weightOf(now, work, reason)) {
 		g.deps.Log.Info("BreakerOpened", "Request", work.head.RequestId, "Service", work.head.Service,
 			"Run", work.run, "Reason", reason)
 	}
