--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,13 @@
 demo: build
 	scripts/demo
 
-.PHONY: mutate
+.PHONY: mutate soak
+
+# soak strikes real processes with faults drawn from seeds; SEED and RUNS choose them.
+SEED ?= 0
+RUNS ?= 5
+soak: build
+	$(BIN)/standins soak --program $(BIN)/foxtailhall --seed $(SEED) --runs $(RUNS)
 
 # prove runs the long randomised runs and all proofs with real processes.
 prove: build
--- a/standins/main.go
+++ b/standins/main.go
@@ -9,18 +9,21 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
 
 	"github.com/foxtailhall/foxtailhall/standins/caller"
 	"github.com/foxtailhall/foxtailhall/standins/measurer"
 	"github.com/foxtailhall/foxtailhall/standins/recorder"
 	"github.com/foxtailhall/foxtailhall/standins/relayer"
 	"github.com/foxtailhall/foxtailhall/standins/reporter"
+	"github.com/foxtailhall/foxtailhall/standins/soaker"
 	"github.com/foxtailhall/foxtailhall/standins/worker"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
@@ -82,6 +85,48 @@
 	}
 }
 
+type soakCommand struct {
+	Program  string        `long:"program" required:"true" description:"Path of the foxtailhall program"`
+	Folder   string        `long:"folder" default:"out/soak" description:"Folder for plans, logs, verdicts and reports"`
+	Seed     uint64        `long:"seed" description:"First seed; the time of day if it is not given"`
+	Runs     int           `long:"runs" default:"1" description:"Runs, each with the next seed"`
+	Duration time.Duration `long:"duration" default:"20s" description:"Length of the load of one run"`
+	VMs      int           `long:"vms" default:"9" description:"VMs, each with a process and a backend server"`
+	Network  int           `long:"network" default:"1" description:"Third number of the loopback addresses"`
+}
+
+// Execute plays the seeds one after the other and fails if a promise was broken.
+func (c *soakCommand) Execute([]string) error {
+	seed := c.Seed
+	if seed == 0 {
+		seed = uint64(time.Now().Unix())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	broken := 0
+	for run := range c.Runs {
+		next := seed + uint64(run)
+		verdict, err := soaker.Run(ctx, soaker.Options{
+			Seed: next, Duration: c.Duration, VMs: c.VMs, Program: c.Program, Network: c.Network,
+			Folder: filepath.Join(c.Folder, strconv.FormatUint(next, 10)),
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %s", next, verdict.Summary())
+		if len(verdict.Failures) > 0 {
+			broken++
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if broken > 0 {
+		return eris.Errorf("%d of %d runs broke a promise", broken, c.Runs)
+	}
+	return nil
+}
+
 type callersCommand struct {
 	Targets   []string      `long:"target" required:"true" description:"CallerAddress of a process; repeat for more"`
 	Rate      float64       `long:"rate" default:"100" description:"Operations a second"`
@@ -251,6 +296,7 @@
 		{"server", "Run a backend server", &serverCommand{}},
 		{"callers", "Run a load", &callersCommand{}},
 		{"relay", "Run a relay with one-way cuts", &relayCommand{}},
+		{"soak", "Strike a fleet on a platform with faults drawn from seeds", &soakCommand{}},
 		{"measure", "Measure the decisions in virtual time", &measureCommand{}},
 		{"page", "Write figures as a page of tables", &pageCommand{}},
 		{"report", "Hold callers' results against servers' journals", &reportCommand{}},
--- a/standins/relayer/relayer.go
+++ b/standins/relayer/relayer.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Cut is a pair of IP numbers whose traffic from one to the other is swallowed.
@@ -24,11 +25,15 @@
 
 	mu   sync.Mutex
 	cuts map[Cut]bool
+	// open holds both ends of all live connections.
+	open map[net.Conn]struct{}
+	// delay holds up each piece.
+	delay time.Duration
 }
 
 // New returns a relay without cuts.
 func New(listen, target string) *Relayer {
-	return &Relayer{listen: listen, target: target, cuts: map[Cut]bool{}}
+	return &Relayer{listen: listen, target: target, cuts: map[Cut]bool{}, open: map[net.Conn]struct{}{}}
 }
 
 // Run relays until the listener fails.
@@ -82,6 +87,47 @@
 	r.cuts[cut] = on
 }
 
+// SetDelay holds up each piece of all traffic from now on.
+func (r *Relayer) SetDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+// Reset breaks all live connections.
+func (r *Relayer) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+func (r *Relayer) note(conns ...net.Conn) (forget func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range conns {
+		r.open[conn] = struct{}{}
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, conn := range conns {
+			delete(r.open, conn)
+		}
+	}
+}
+
+func (r *Relayer) pause() {
+	r.mu.Lock()
+	delay := r.delay
+	r.mu.Unlock()
+	time.Sleep(delay)
+}
+
 func (r *Relayer) cut(from, to string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,6 +141,7 @@
 		return
 	}
 	defer func() { _ = target.Close() }()
+	defer r.note(client, target)()
 	from, to := host(client.RemoteAddr()), host(target.RemoteAddr())
 	done := make(chan struct{}, 2)
 	go func() { r.pipe(target, client, from, to); done <- struct{}{} }()
@@ -119,6 +166,7 @@
 	lost := false
 	for {
 		n, err := from.Read(buffer)
+		r.pause()
 		lost = lost || r.cut(fromHost, toHost)
 		if n > 0 && !lost {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
