breaker: Let a good answer halve what earlier failures weigh

Cause: a server that fails every other request with late errors never opened its breaker, since one good answer forgot all.

--- a/coordination/breaker/breaker.go
+++ b/coordination/breaker/breaker.go
@@ -21,6 +21,9 @@
 	maxTrials = 2
 	// Sure is the weight of a failure that opens the breaker alone.
 	Sure = 1.0
+	// goodFactor is what a good answer leaves of the weight of earlier failures. It
+	// keeps a server that fails every other request from passing for sound.
+	goodFactor = 0.5
 	// Doubtful is the weight of a failure that others may have caused, such as an
 	// error after a long run that may have called other servers.
 	Doubtful = 0.5
@@ -60,7 +63,7 @@
 	until clocker.Instant
 	// pause is that of the present series of failures.
 	pause time.Duration
-	// weight sums the failures since the last good answer of the state Closed.
+	// weight sums the failures of the state Closed; good answers reduce it.
 	weight float64
 	// trials counts the trials of the state HalfOpen, and trialSince is when the
 	// latest began.
@@ -120,7 +123,7 @@
 func (b *Breaker) Good(now clocker.Instant) {
 	switch b.State(now) {
 	case Closed:
-		b.weight = 0
+		b.weight *= goodFactor
 	case HalfOpen:
 		b.trials = max(0, b.trials-1)
 		b.good++
--- a/coordination/breaker/breaker_test.go
+++ b/coordination/breaker/breaker_test.go
@@ -73,10 +73,22 @@
 	t.Run("OneDoubtfulFailureDoesNotOpen", func(t *testing.T) {
 		b := breaker.New(pause)
 		require.False(t, b.Bad(at(0), breaker.Doubtful))
-		b.Good(at(0))
+		for range 5 {
+			b.Good(at(0))
+		}
 		require.False(t, b.Bad(at(0), breaker.Doubtful))
 		require.True(t, b.Bad(at(0), breaker.Doubtful))
 	})
+	t.Run("DoubtfulFailuresOfHalfTheRequestsOpen", func(t *testing.T) {
+		b := breaker.New(pause)
+		opened := false
+		for range 10 {
+			opened = opened || b.Bad(at(0), breaker.Doubtful) || b.Bad(at(0), breaker.Doubtful)
+			b.Good(at(0))
+			b.Good(at(0))
+		}
+		require.True(t, opened)
+	})
 	t.Run("PauseStaysBelowTwoSeconds", func(t *testing.T) {
 		b := opened(t)
 		now := time.Duration(0)
