--- a/transport/router/search.go
+++ b/transport/router/search.go
@@ -26,9 +26,6 @@
 	doubtful []uint64
 	// asked counts the attempts.
 	asked int
-	// full is set once a sound server had no slot. The request is then refused
-	// rather than lost at a server in doubt of its own health, if it can't be repeated.
-	full bool
 }
 
 // next returns the server to ask, and whether to insist. The entry's Server is
@@ -49,9 +46,6 @@
 			return entry, why, true
 		}
 	}
-	if s.full && !request.idempotent {
-		return tracker.Entry{}, picker.ReasonNone, false
-	}
 	entry, why := r.pick(request, s.spent, false)
 	return entry, why, true
 }
@@ -68,7 +62,6 @@
 // note takes the end of an attempt.
 func (s *search) note(outcome *result, insisted bool) {
 	incarnation := outcome.entry.Member.Incarnation
-	s.full = s.full || outcome.soft() && outcome.verdict.Busy
 	switch {
 	case outcome.soft() && outcome.verdict.Busy && insisted:
 		// What was refused before this one waited may have slots by now.
