router: Offer every attempt first

Attempts that may be repeated were sent with their release. Ruled out: the age of a request by the clock of its router, as clocks jump. Change: every attempt is offered and runs only when its router, still there, releases it. A failed path then costs no repeat either.

--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -226,7 +226,7 @@
 		Insist:      insist,
 		Earlier:     uint32(request.arrivals),
 		Derived:     float32(request.derived),
-		Offer:       !request.idempotent,
+		Offer:       true,
 	}
 	if !head.Offer {
 		r.fill(request, head)
