router: Look in the own availability zone first at each step

Gossip pinged far members in one round of four. Change: each step of the search takes servers of the own zone before others, three far servers at most are asked softly, heavy bodies wait nearby while a sound server there is only busy, and far members are pinged in one round of twelve.

--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -28,7 +28,7 @@
 	fullPeriod = time.Second
 	// farRounds is how many rounds of pings there are to one that includes the
 	// members of other availability zones. Their own zones ping them in each.
-	farRounds = 4
+	farRounds = 12
 	// nearMembers is how many members of the own zone make far ones wait.
 	nearMembers = 3
 	// urgentTargets is how many members hear of an own change at once.
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -63,6 +63,8 @@
 	// Random is uniformly distributed.
 	Random     uint64
 	Idempotent bool
+	// NearOnly leaves out the servers of other availability zones.
+	NearOnly bool
 	// SkipAvoided leaves out the servers that are passed over for now.
 	SkipAvoided bool
 	// Tried holds the incarnations to leave out, up to TriedCount.
@@ -135,7 +137,8 @@
 	drawn := draws{random: query.Random | 1, explore: query.Random%trialShare == 0, own: -1}
 	for i := range pool.Entries {
 		entry := &pool.Entries[i]
-		if !entry.Member.State.Working() || query.tried(entry.Member.Incarnation) {
+		if !entry.Member.State.Working() || query.tried(entry.Member.Incarnation) ||
+			query.NearOnly && entry.Member.Zone != query.Zone {
 			continue
 		}
 		drawn.take(pool, &query, i)
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -85,23 +85,33 @@
 
 var errUnframed = eris.New("guard sent an unexpected frame")
 
+// wish narrows a choice of servers.
+type wish struct {
+	// without holds the servers to leave out.
+	without []uint64
+	// sound leaves out servers that are passed over for now.
+	sound bool
+	// near leaves out servers of other availability zones.
+	near bool
+}
+
 // pick chooses the server of the next attempt and logs nothing.
-func (r *Router) pick(request *call, tried []uint64, skipAvoided bool) (tracker.Entry, picker.Reason) {
+func (r *Router) pick(request *call, want wish) (tracker.Entry, picker.Reason) {
 	lane := r.deps.Lanes.Lane(request.service.Name)
 	if lane == nil {
 		return tracker.Entry{}, picker.ReasonNone
 	}
 	self := r.deps.Self()
 	query := picker.Query{
-		Self:       self.Incarnation,
-		Zone:       self.Zone,
-		Now:        r.deps.Now().Mono,
-		Random:     r.deps.Random(),
-		Idempotent: request.idempotent,
-
-		SkipAvoided: skipAvoided,
+		Self:        self.Incarnation,
+		Zone:        self.Zone,
+		Now:         r.deps.Now().Mono,
+		Random:      r.deps.Random(),
+		Idempotent:  request.idempotent,
+		SkipAvoided: want.sound,
+		NearOnly:    want.near,
 	}
-	for _, incarnation := range tried {
+	for _, incarnation := range want.without {
 		query = query.WithTried(incarnation)
 	}
 	return picker.Pick(lane.Pool, query)
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -255,7 +255,7 @@
 		return r.refuse(request, *notRun(consts.StatusNotFound, "UnknownRoute"))
 	}
 	request.service, _ = r.deps.Catalog().Service(route.Pick(r.point()))
-	entry, _ := r.pick(request, nil, false)
+	entry, _ := r.pick(request, wish{})
 	if entry.Server == nil {
 		return r.refuse(request, *notRun(consts.StatusServiceUnavailable, "NoBackendServer"))
 	}
--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -145,7 +145,7 @@
 	if binding.Fate != claimer.FateFree && binding.Fate != claimer.FateNeverRan {
 		return binding, nil
 	}
-	entry, _ := r.pick(request, nil, false)
+	entry, _ := r.pick(request, wish{})
 	if entry.Server == nil {
 		return binding, notRun(consts.StatusServiceUnavailable, "NoBackendServer")
 	}
--- a/transport/router/search.go
+++ b/transport/router/search.go
@@ -13,6 +13,12 @@
 	// the more of them refuse anyway, the fewer are asked.
 	mostSoft  = 6
 	leastSoft = 2
+	// maxFar bounds the servers of other availability zones that are asked before
+	// the request insists.
+	maxFar = 3
+	// heavyBodyBytes is the body from which a request waits in its own
+	// availability zone rather than be sent to another.
+	heavyBodyBytes = 16 << 10
 	// maxAsked bounds the attempts of one request.
 	maxAsked = 24
 )
@@ -24,30 +30,63 @@
 	// busy and doubtful hold those that refused for the time being.
 	busy     []uint64
 	doubtful []uint64
-	// asked counts the attempts.
+	// asked counts the attempts, and far those asked softly in other zones.
 	asked int
+	far   int
 }
 
 // next returns the server to ask, and whether to insist. The entry's Server is
-// nil if there is none.
+// nil if there is none. Servers of the own availability zone come first at each
+// step, since bytes between zones are dear.
 func (s *search) next(r *Router, request *call) (tracker.Entry, picker.Reason, bool) {
 	if s.asked >= maxAsked || s.asked > 0 && r.heldOut(request) {
 		return tracker.Entry{}, picker.ReasonNone, false
 	}
 	s.asked++
+	for _, step := range s.steps(r, request) {
+		if entry, why := r.pick(request, step.wish); entry.Server != nil {
+			s.far += step.far
+			return entry, why, step.insist
+		}
+	}
+	return tracker.Entry{}, picker.ReasonNone, false
+}
+
+// step is one way to look for a server.
+type step struct {
+	wish   wish
+	insist bool
+	// far is 1 if the step spends one of the asks of other availability zones.
+	far int
+}
+
+func (s *search) steps(r *Router, request *call) []step {
 	soft := slices.Concat(s.busy, s.doubtful)
+	steps := make([]step, 0, 6)
 	if len(soft) < r.softLimit(request) {
-		if entry, why := r.pick(request, slices.Concat(s.spent, soft), true); entry.Server != nil {
-			return entry, why, false
+		unasked := wish{without: slices.Concat(s.spent, soft), sound: true}
+		steps = append(steps, step{wish: unasked.nearby()})
+		if s.far < maxFar && (!heavy(request) || len(s.busy) == 0) {
+			steps = append(steps, step{wish: unasked, far: 1})
 		}
 	}
 	if len(s.busy) > 0 {
-		if entry, why := r.pick(request, slices.Concat(s.spent, s.doubtful), true); entry.Server != nil {
-			return entry, why, true
-		}
+		full := wish{without: slices.Concat(s.spent, s.doubtful), sound: true}
+		steps = append(steps, step{wish: full.nearby(), insist: true}, step{wish: full, insist: true})
 	}
-	entry, why := r.pick(request, s.spent, false)
-	return entry, why, true
+	whoever := wish{without: s.spent}
+	return append(steps, step{wish: whoever.nearby(), insist: true}, step{wish: whoever, insist: true})
+}
+
+// nearby returns the wish within the own availability zone.
+func (w wish) nearby() wish {
+	w.near = true
+	return w
+}
+
+// heavy tells whether a request's body is worth a wait in its own availability zone.
+func heavy(request *call) bool {
+	return request.long != nil || len(request.body) >= heavyBodyBytes
 }
 
 // softLimit is how many servers are asked before the request insists.
