--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -31,8 +31,9 @@
 	return entry
 }
 
-func farewell(id string, heard time.Duration) enroller.Entry {
-	return enroller.Entry{ID: id, Leaving: true, Heard: at(heard)}
+// farewell is the word of server a that it has left, two seconds after the epoch.
+func farewell() enroller.Entry {
+	return enroller.Entry{ID: "a", Leaving: true, Heard: at(2 * time.Second)}
 }
 
 // requireVerdicts feeds entries one after the other.
@@ -69,7 +70,7 @@
 		requireVerdicts(t, []enroller.Entry{ready("b", 10, 1), ready("a", 0, 50)}, announced, stale)
 	})
 	t.Run("FarewellOfAnEarlierRunIsStale", func(t *testing.T) {
-		requireVerdicts(t, []enroller.Entry{ready("b", 10, 1), farewell("a", 2*time.Second)}, announced, stale)
+		requireVerdicts(t, []enroller.Entry{ready("b", 10, 1), farewell()}, announced, stale)
 	})
 	t.Run("OtherAddressIsForeign", func(t *testing.T) {
 		other := ready("a", 0, 1)
@@ -79,17 +80,17 @@
 	t.Run("LateWordAfterAFarewellToAFreshProcessIsStale", func(t *testing.T) {
 		late := ready("a", 0, 7)
 		late.Heard = at(4 * time.Second)
-		requireVerdicts(t, []enroller.Entry{farewell("a", 2*time.Second), late}, retired, stale)
+		requireVerdicts(t, []enroller.Entry{farewell(), late}, retired, stale)
 	})
 	t.Run("RunThatStartedAfterTheFarewellCounts", func(t *testing.T) {
 		fresh := ready("a", 3000, 1)
 		fresh.Heard = at(4 * time.Second)
-		requireVerdicts(t, []enroller.Entry{farewell("a", 2*time.Second), fresh}, retired, announced)
+		requireVerdicts(t, []enroller.Entry{farewell(), fresh}, retired, announced)
 	})
 	t.Run("ClockThatRanAheadHoldsARunBackForATimeOnly", func(t *testing.T) {
 		fresh := ready("a", 1000, 1)
 		fresh.Heard = at(11 * time.Second)
-		requireVerdicts(t, []enroller.Entry{farewell("a", 2*time.Second), fresh}, retired, announced)
+		requireVerdicts(t, []enroller.Entry{farewell(), fresh}, retired, announced)
 	})
 }
 
--- a/coordination/limiter/ranks_test.go
+++ b/coordination/limiter/ranks_test.go
@@ -21,7 +21,7 @@
 		require.Equal(t, limiter.Queued, l.AdmitRanked(at(0), ask(2, 2, 0)))
 		require.Equal(t, limiter.Queued, l.AdmitRanked(at(0), ask(3, 0, 0)))
 		require.Equal(t, limiter.Queued, l.AdmitRanked(at(0), ask(4, 2, 0)))
-		var order []uint64
+		order := make([]uint64, 0, 3)
 		for range 3 {
 			started, _ := l.Release(at(0))
 			order = append(order, started...)
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -119,10 +119,10 @@
 	defer l.mu.Unlock()
 	verdict := Verdict{Plan: plan, Failures: l.failures}
 	for _, got := range l.answers {
-		switch {
-		case got.Status == 200:
+		switch got.Status {
+		case 200:
 			verdict.Served++
-		case got.Status == 503 || got.Status == 429:
+		case 503, 429:
 			verdict.Refused++
 		default:
 			verdict.Failed++
--- a/transport/acceptor/acceptor_test.go
+++ b/transport/acceptor/acceptor_test.go
@@ -20,6 +20,9 @@
 	"github.com/foxtailhall/foxtailhall/transport/acceptor"
 )
 
+// chunked is the head of a request whose body comes in chunks.
+const chunked = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // patience bounds each wait of these tests; none depends on how long it takes.
 const patience = 10 * time.Second
 
@@ -122,13 +125,14 @@
 	return conn, bufio.NewReader(conn)
 }
 
-func (d *door) requireNext(from chan string, want string) {
+// requireNext waits for news of the path /a.
+func (d *door) requireNext(from chan string) {
 	d.t.Helper()
 	select {
 	case got := <-from:
-		require.Equal(d.t, want, got)
+		require.Equal(d.t, "/a", got)
 	case <-time.After(patience):
-		require.Fail(d.t, "nothing came", want)
+		require.Fail(d.t, "nothing came")
 	}
 }
 
@@ -172,9 +176,9 @@
 	conn, _ := d.dial()
 	_, err := io.WriteString(conn, get("/a"))
 	require.NoError(t, err)
-	d.requireNext(d.started, "/a")
+	d.requireNext(d.started)
 	require.NoError(t, conn.Close())
-	d.requireNext(d.gone, "/a")
+	d.requireNext(d.gone)
 }
 
 func TestCloseAfterTheLastRequestIsSeen(t *testing.T) {
@@ -183,9 +187,9 @@
 	conn, _ := d.dial()
 	_, err := io.WriteString(conn, get("/a", "Connection: close"))
 	require.NoError(t, err)
-	d.requireNext(d.started, "/a")
+	d.requireNext(d.started)
 	require.NoError(t, conn.Close())
-	d.requireNext(d.gone, "/a")
+	d.requireNext(d.gone)
 }
 
 func TestConnectionClose(t *testing.T) {
@@ -213,7 +217,7 @@
 		conn, in := d.dial()
 		_, err := io.WriteString(conn, get("/a"))
 		require.NoError(t, err)
-		d.requireNext(d.started, "/a")
+		d.requireNext(d.started)
 		time.Sleep(100 * time.Millisecond)
 		release()
 		requireAnswer(t, in, http.StatusOK, "to /a")
@@ -234,7 +238,7 @@
 	for name, head := range map[string]string{
 		"TwoLengths":           "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
 		"LengthAndChunks":      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-		"ChunkedTwice":         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"ChunkedTwice":         strings.Replace(chunked, "Host", "Transfer-Encoding: chunked\r\nHost", 1) + "0\r\n\r\n",
 		"OtherEncoding":        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
 		"SignedLength":         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc",
 		"SpaceBeforeColon":     "GET /a HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc",
@@ -291,7 +295,7 @@
 	t.Run("BadChunkReachesNoHandler", func(t *testing.T) {
 		d := open(t)
 		conn, in := d.dial()
-		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n"+get("/b"))
+		_, err := io.WriteString(conn, chunked+"zz\r\nab\r\n0\r\n\r\n"+get("/b"))
 		require.NoError(t, err)
 		requireAnswer(t, in, http.StatusBadRequest, "HalfRequest")
 		requireClosed(t, in)
@@ -356,7 +360,7 @@
 		conn, in := d.dial()
 		_, err := io.WriteString(conn, get("/a"))
 		require.NoError(t, err)
-		d.requireNext(d.started, "/a")
+		d.requireNext(d.started)
 		d.acceptor.Drain()
 		release()
 		requireAnswer(t, in, http.StatusOK, "to /a")
@@ -376,7 +380,7 @@
 		conn, in := d.dial()
 		_, err := io.WriteString(conn, get("/a"))
 		require.NoError(t, err)
-		d.requireNext(d.started, "/a")
+		d.requireNext(d.started)
 		d.acceptor.Cancel()
 		requireAnswer(t, in, http.StatusBadGateway, "Gone")
 	})
@@ -388,7 +392,7 @@
 	conn, in := d.dial()
 	_, err := io.WriteString(conn, get("/a"))
 	require.NoError(t, err)
-	d.requireNext(d.started, "/a")
+	d.requireNext(d.started)
 	closed := make(chan struct{})
 	go func() {
 		d.acceptor.Close()
--- /dev/null
+++ b/transport/guard/admission.go
@@ -0,0 +1,282 @@
+package guard
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/dispatcher"
+	"github.com/foxtailhall/foxtailhall/coordination/limiter"
+	"github.com/foxtailhall/foxtailhall/protocol/answerer"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+)
+
+// Reasons of refusals that a router acts on.
+const (
+	reasonBusy     = "Busy"
+	reasonDoubtful = "Doubtful"
+	reasonLeaving  = "Leaving"
+	reasonEjected  = "Ejected"
+	reasonNoBudget = "NoBudget"
+	// reasonQueueTimeout means that no slot was free in time.
+	reasonQueueTimeout = "QueueTimeout"
+	// reasonErrorAnswer is an error status of the server's own.
+	reasonErrorAnswer = "ErrorAnswer"
+)
+
+// admit rules on the attempt and waits until it holds a slot.
+func (g *Guard) admit(
+	ctx context.Context, stream messenger.DRPCGuard_ForwardStream, head *messenger.RequestHead, budget time.Duration,
+) (*task, *refusal) {
+	g.mu.Lock()
+	work, decision, refused := g.enter(head, budget)
+	if refused != nil {
+		g.mu.Unlock()
+		return nil, refused
+	}
+	if decision == limiter.Started {
+		g.active++
+		g.mu.Unlock()
+		return work, nil
+	}
+	started := make(chan bool, 1)
+	g.waiters[work.id] = started
+	g.mu.Unlock()
+	queued := &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: &messenger.Verdict{Queued: true}}}
+	if err := send(stream, queued); err != nil {
+		g.deps.Log.Debug("QueuedNotTold", "Error", err)
+	}
+	return g.wait(ctx, work, started)
+}
+
+func (g *Guard) enter(head *messenger.RequestHead, budget time.Duration) (*task, limiter.Decision, *refusal) {
+	now := g.deps.Now()
+	if head.Incarnation != g.deps.Incarnation {
+		return nil, 0, &refusal{outcome: answerer.OutcomeNotRun, reason: "OtherIncarnation"}
+	}
+	if !g.controller.Present() || head.Service != g.service.Name {
+		return nil, 0, &refusal{outcome: answerer.OutcomeNotRun, reason: reasonLeaving}
+	}
+	g.nextID++
+	work := &task{
+		head:       head,
+		id:         g.nextID,
+		deadline:   now.Add(budget),
+		remembered: !head.Idempotent,
+		origin:     detector.Origin{Caller: head.Caller, Route: head.Route},
+		service:    g.service,
+		run:        g.announced.Run,
+	}
+	copy(work.attempt[:], head.Attempt)
+	if refused := g.rule(now, work); refused != nil {
+		return nil, 0, refused
+	}
+	decision, reason := g.admission(now, work)
+	if reason == "" {
+		return work, decision, nil
+	}
+	g.withdraw(work)
+	return nil, 0, &refusal{outcome: answerer.OutcomeNotRun, reason: reason}
+}
+
+// admission returns the limiter's decision, or why the request is refused.
+func (g *Guard) admission(now clocker.Instant, work *task) (limiter.Decision, string) {
+	if reason := g.closedReason(); reason != "" {
+		return 0, reason
+	}
+	if !work.head.Insist && !g.limiter.Free() {
+		return 0, reasonBusy
+	}
+	if !g.breaker.Allow(now, work.head.Idempotent, work.head.Insist) {
+		return 0, reasonDoubtful
+	}
+	if !g.takeBudget(now, work) {
+		return 0, reasonNoBudget
+	}
+	decision := g.limiter.AdmitRanked(now, limiter.Request{
+		ID: work.id, Deadline: work.deadline, Rank: work.head.Rank,
+		Hold: time.Duration(work.head.HoldUs) * time.Microsecond,
+	})
+	if decision == limiter.Started || decision == limiter.Queued {
+		return decision, ""
+	}
+	g.returnBudget(work)
+	return 0, decision.String()
+}
+
+// takeBudget counts a first attempt, or uses a token for a repeat of a request
+// that may have reached a server already.
+func (g *Guard) takeBudget(now clocker.Instant, work *task) bool {
+	g.budget.Refill(now.Mono)
+	if work.head.Earlier == 0 {
+		g.budget.First()
+		g.budget.Charge(float64(work.head.Derived))
+		return true
+	}
+	return g.budget.Take()
+}
+
+// returnBudget gives back what an attempt took that its server never gets.
+func (g *Guard) returnBudget(work *task) {
+	if work.head.Earlier > 0 {
+		g.budget.Return()
+	}
+}
+
+// rule consults the memory of attempts and keys.
+func (g *Guard) rule(now clocker.Instant, work *task) *refusal {
+	if !work.remembered {
+		return nil
+	}
+	ruling, answer := g.dispatcher.Begin(now, work.attempt, work.head.Key, work.head.IssuedMs)
+	switch ruling {
+	case dispatcher.RulingRun:
+		return nil
+	case dispatcher.RulingRepeat:
+		return &refusal{outcome: answerer.OutcomeAnswered, reason: ruling.String(), answer: answer}
+	case dispatcher.RulingRan:
+		return &refusal{outcome: answerer.OutcomeRan, reason: ruling.String()}
+	case dispatcher.RulingRunning, dispatcher.RulingDuplicate:
+		return &refusal{outcome: answerer.OutcomeUnknown, reason: ruling.String()}
+	default:
+		return &refusal{outcome: answerer.OutcomeNotRun, reason: ruling.String()}
+	}
+}
+
+func (g *Guard) closedReason() string {
+	switch g.controller.State() {
+	case registrar.StateEjected:
+		return reasonEjected
+	case registrar.StateLeaving, registrar.StateGone:
+		return reasonLeaving
+	default:
+		return ""
+	}
+}
+
+func (g *Guard) withdraw(work *task) {
+	if work.remembered {
+		g.dispatcher.Withdraw(work.attempt, work.head.Key)
+	}
+}
+
+// queueSlice is how long a request waits at one server before its router looks
+// for a free slot elsewhere. A server whose slots are taken by long runs would
+// hold it while others become free.
+const queueSlice = 200 * time.Millisecond
+
+func (g *Guard) wait(ctx context.Context, work *task, started chan bool) (*task, *refusal) {
+	if hold := work.head.HoldUs; hold > 0 {
+		held, cancel := context.WithTimeout(ctx, min(queueSlice, time.Duration(hold)*time.Microsecond))
+		defer cancel()
+		ctx = held
+	}
+	select {
+	case ok := <-started:
+		if ok {
+			return work, nil
+		}
+	case <-ctx.Done():
+		if g.abandon(work, started) {
+			break
+		}
+		g.release()
+	}
+	g.mu.Lock()
+	g.withdraw(work)
+	g.returnBudget(work)
+	g.mu.Unlock()
+	return nil, &refusal{outcome: answerer.OutcomeNotRun, reason: reasonQueueTimeout}
+}
+
+// abandon takes a waiting request out of the queue. It returns false if the
+// request was started in the meantime and holds a slot.
+func (g *Guard) abandon(work *task, started chan bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, waiting := g.waiters[work.id]; waiting {
+		delete(g.waiters, work.id)
+		g.limiter.Remove(work.id)
+		return true
+	}
+	return !<-started
+}
+
+// wake tells a waiting request whether it starts. The lock is held.
+func (g *Guard) wake(id uint64, start bool) {
+	waiter, ok := g.waiters[id]
+	if !ok {
+		return
+	}
+	delete(g.waiters, id)
+	if start {
+		g.active++
+	}
+	waiter <- start
+}
+
+// release frees the slot and starts waiting requests.
+func (g *Guard) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active--
+	started, refused := g.limiter.Release(g.deps.Now())
+	for _, id := range refused {
+		g.wake(id, false)
+	}
+	for _, id := range started {
+		g.wake(id, true)
+	}
+}
+
+// releaseTimeout is how long an admitted attempt may hold its slot before its
+// router releases it. It covers a retransmission between availability zones.
+const releaseTimeout = time.Second
+
+// awaitRelease tells the router that the attempt is admitted. An attempt that
+// was offered runs only once the router has sent its first frame after that,
+// so that one whose router has gone never runs.
+func (g *Guard) awaitRelease(stream messenger.DRPCGuard_ForwardStream, work *task, body *upload) error {
+	admitted := &messenger.Verdict{Admitted: true}
+	if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: admitted}}); err != nil {
+		g.abandonOffer(work, err)
+		return err
+	}
+	if !work.head.Offer {
+		return nil
+	}
+	type release struct {
+		head *messenger.RequestHead
+		err  error
+	}
+	released := make(chan release, 1)
+	go func() {
+		head, err := body.prefetch()
+		released <- release{head: head, err: err}
+	}()
+	timer := time.NewTimer(releaseTimeout)
+	defer timer.Stop()
+	select {
+	case got := <-released:
+		if got.err != nil {
+			g.abandonOffer(work, got.err)
+			return got.err
+		}
+		work.head.Headers, work.head.Body, work.head.BodyFollows = got.head.Headers, got.head.Body, got.head.BodyFollows
+		return nil
+	case <-timer.C:
+		body.abandon()
+		g.abandonOffer(work, errNotReleased)
+		return errNotReleased
+	}
+}
+
+func (g *Guard) abandonOffer(work *task, cause error) {
+	g.mu.Lock()
+	g.withdraw(work)
+	g.returnBudget(work)
+	g.mu.Unlock()
+	g.deps.Log.Info("OfferAbandoned", "Request", work.head.RequestId, "Error", cause)
+}
--- a/words_test.go
+++ b/words_test.go
@@ -13,8 +13,8 @@
 
 // platformWords are names of the users' platform. The two that the system's own
 // interface shares with it are told apart in docs/design/8-platform.md.
-var platformWords = regexp.MustCompile(`Foxtailhall-(Response-Seal|Expect-Instance|Not-Executed|Caller-Service|Instance-Id|Server-Load)` +
-	`|/log-(append|read|newest|join|commit|trim)|keyed\.(op|servers|status)|/instances/|/readyz` +
+var platformWords = regexp.MustCompile(`Foxtailhall-(Response-Seal|Expect-Instance|Not-Executed|Caller-Service` +
+	`|Instance-Id|Server-Load)|/log-(append|read|newest|join|commit|trim)|keyed\.(op|servers|status)|/instances/|/readyz` +
 	`|trafficSplit|targetLatency|warmupLeft|maxConcurrency|heartbeatAddr|entryType`)
 
 // TestPlatformWordsStayInTheAdapter checks that no code outside platform/ knows
