--- a/commands/run.go
+++ b/commands/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,12 +13,14 @@
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
 
 	"github.com/foxtailhall/foxtailhall/platform"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/state/loader"
 	"github.com/foxtailhall/foxtailhall/transport/meter"
 	"github.com/foxtailhall/foxtailhall/transport/runner"
+	"github.com/foxtailhall/foxtailhall/transport/scribe"
 )
 
 type runCommand struct {
@@ -40,7 +43,9 @@
 	if err != nil {
 		return fmt.Errorf("starting: %w", err)
 	}
-	log, err := newLog(c.deps.stderr, settings.LogLevel)
+	lines := scribe.New(c.deps.stdout)
+	defer lines.Close()
+	log, err := newLog(lines, settings.LogLevel)
 	if err != nil {
 		return fmt.Errorf("starting: %w", err)
 	}
@@ -51,14 +56,19 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
 	if desk != nil {
-		go c.serve(desk, log)
+		go serve(desk, log, fail)
 		defer func() { _ = desk.Close() }()
 	}
 	go c.reload(ctx, asked, process, log)
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("running: %w", err)
 	}
+	if err := context.Cause(ctx); errors.Is(err, errDesk) {
+		return fmt.Errorf("running: %w", err)
+	}
 	return nil
 }
 
@@ -122,11 +132,13 @@
 	return process, desk, nil
 }
 
+var errDesk = eris.New("ports for the platform can't be served")
+
 // serve runs the desk and stops the process if its ports can't be had.
-func (c *runCommand) serve(desk *platform.Desk, log *slog.Logger) {
+func serve(desk *platform.Desk, log *slog.Logger, fail context.CancelCauseFunc) {
 	if err := desk.Run(); err != nil {
 		log.Error("DeskFailed", "Error", err)
-		os.Exit(ExitFailed)
+		fail(fmt.Errorf("%w: %w", errDesk, err))
 	}
 }
 
