router: Pass over a guard that says nothing for 300 ms

Change: a guard's first word may take 300 ms, and one attempt without it passes the server over for a second.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 demo: build
 	scripts/demo
 
-.PHONY: mutate soak
+.PHONY: mutate soak platform-page
 
 # soak strikes real processes with faults drawn from seeds; SEED and RUNS choose them.
 SEED ?= 0
@@ -54,9 +54,17 @@
 	$(BIN)/standins measure --out out/figures.txt
 	$(BIN)/standins page --notes docs/design/measures-notes.md out/figures.txt >docs/MEASURES.md
 
+# platform-page writes the journal of the plays on the users' platform as a page.
+platform-page: build
+	$(BIN)/standins platform-page --notes docs/design/platform-notes.md journal >docs/PLATFORM-MEASURES.md
+
 fuzz:
 	go test -fuzz FuzzParse -fuzztime 60s ./state/parser
 	go test -fuzz FuzzSettings -fuzztime 30s ./state/loader
+	go test -fuzz FuzzHead -fuzztime 30s ./transport/acceptor
+	go test -fuzz FuzzConfiguration -fuzztime 30s ./platform
+	go test -fuzz FuzzHeartbeat -fuzztime 20s ./platform
+	go test -fuzz FuzzRecords -fuzztime 20s ./platform
 
 # measure-slopes measures what docs/CAPACITY.md works out.
 measure-slopes:
--- a/standins/main.go
+++ b/standins/main.go
@@ -20,6 +20,7 @@
 
 	"github.com/foxtailhall/foxtailhall/standins/caller"
 	"github.com/foxtailhall/foxtailhall/standins/measurer"
+	"github.com/foxtailhall/foxtailhall/standins/pager"
 	"github.com/foxtailhall/foxtailhall/standins/recorder"
 	"github.com/foxtailhall/foxtailhall/standins/relayer"
 	"github.com/foxtailhall/foxtailhall/standins/reporter"
@@ -85,6 +86,30 @@
 	}
 }
 
+type platformPageCommand struct {
+	Notes string `long:"notes" description:"File with notes to put at the end"`
+	Args  struct {
+		Journal string `positional-arg-name:"JOURNAL" required:"true"`
+	} `positional-args:"yes"`
+}
+
+// Execute writes the page of measures on the platform.
+func (c *platformPageCommand) Execute([]string) error {
+	entries, err := pager.Read(c.Args.Journal)
+	if err != nil {
+		return err
+	}
+	notes := ""
+	if c.Notes != "" {
+		text, err := os.ReadFile(c.Notes)
+		if err != nil {
+			return err
+		}
+		notes = string(text)
+	}
+	return pager.Write(os.Stdout, entries, notes)
+}
+
 type soakCommand struct {
 	Program  string        `long:"program" required:"true" description:"Path of the foxtailhall program"`
 	Folder   string        `long:"folder" default:"out/soak" description:"Folder for plans, logs, verdicts and reports"`
@@ -299,6 +324,7 @@
 		{"soak", "Strike a fleet on a platform with faults drawn from seeds", &soakCommand{}},
 		{"measure", "Measure the decisions in virtual time", &measureCommand{}},
 		{"page", "Write figures as a page of tables", &pageCommand{}},
+		{"platform-page", "Write the journal of plays as a page of tables", &platformPageCommand{}},
 		{"report", "Hold callers' results against servers' journals", &reportCommand{}},
 	}
 	for _, command := range commands {
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -75,7 +75,7 @@
 	serverErrorStatus = 500
 	// admissionTimeout is how long a guard may take to its first word. It covers
 	// a lost packet's retransmission and a throttled core.
-	admissionTimeout = 500 * time.Millisecond
+	admissionTimeout = 300 * time.Millisecond
 )
 
 // wish narrows a choice of servers.
--- a/transport/router/learn.go
+++ b/transport/router/learn.go
@@ -47,7 +47,9 @@
 	server := outcome.entry.Server
 	if !outcome.heard {
 		if ctx.Err() == nil {
+			// One attempt without a word is enough to look elsewhere for a while.
 			server.Failed(now)
+			server.Refused(now)
 		}
 		return
 	}
