gossiper: Send only the entries that the asker lacks

Change: a question for a full view carries the fingerprints of the asker's entries, 8 bytes each, and the answer only the entries that are not among them.

--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -24,7 +24,7 @@
 	maxChanges = 40
 	// spreadFactor multiplies the logarithm of the fleet's size into the sends of one change.
 	spreadFactor = 3
-	// fullPeriod is the least time between two full views asked for.
+	// fullPeriod is the least time between two questions for a full view.
 	fullPeriod = time.Second
 	// farRounds is how many rounds of pings there are to one that includes the
 	// members of other availability zones. Their own zones ping them in each.
@@ -221,13 +221,24 @@
 }
 
 func (g *Gossiper) message(wantFull bool) Message {
-	return Message{
+	message := Message{
 		Sender:        g.self,
 		Changes:       g.takeChanges(),
 		Digest:        g.roster.Digest(),
 		ConfigVersion: g.version,
 		WantFull:      wantFull,
 	}
+	if wantFull {
+		message.Known = g.roster.Fingerprints()
+	}
+	return message
+}
+
+// withDifference turns a message into the answer to one that asks for a full view.
+func (g *Gossiper) withDifference(message, asked Message) Message {
+	message.Changes = g.roster.Missing(asked.Known)
+	message.Full = true
+	return message
 }
 
 // takeChanges returns the changes that were sent least often.
@@ -275,8 +286,7 @@
 	g.merge(now, message)
 	reply := g.message(g.needsFull(now, message))
 	if message.WantFull {
-		reply.Changes = g.roster.Members()
-		reply.Full = true
+		return g.withDifference(reply, message)
 	}
 	return reply
 }
@@ -287,9 +297,7 @@
 	g.heard[reply.Sender.Incarnation] = now
 	g.merge(now, reply)
 	if reply.WantFull {
-		message := g.message(false)
-		message.Changes = g.roster.Members()
-		message.Full = true
+		message := g.withDifference(g.message(false), reply)
 		return []Ping{{Address: reply.Sender.Address, Incarnation: reply.Sender.Incarnation, Message: message}}
 	}
 	if g.needsFull(now, reply) {
--- a/coordination/gossiper/message.go
+++ b/coordination/gossiper/message.go
@@ -10,10 +10,11 @@
 	Digest uint64
 	// ConfigVersion is the version in force at the sender.
 	ConfigVersion uint64
-	// Full marks a message that holds the whole roster.
+	// Full marks a message that holds all entries that the receiver lacks.
 	Full bool
-	// WantFull asks for the whole roster in the reply.
+	// WantFull asks for all entries whose fingerprints are not in Known.
 	WantFull bool
+	Known    []uint64
 }
 
 // Ping is a message to send, whose reply goes to Acked or whose lack goes to Failed.
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -81,6 +81,30 @@
 	return all
 }
 
+// Fingerprints returns those of all entries, sorted.
+func (r Roster) Fingerprints() []uint64 {
+	prints := make([]uint64, 0, r.members.Len())
+	for itr := r.members.Iterator(); !itr.Done(); {
+		_, member, _ := itr.Next()
+		prints = append(prints, member.fingerprint())
+	}
+	slices.Sort(prints)
+	return prints
+}
+
+// Missing returns the entries whose fingerprints are not among those known,
+// sorted by incarnation.
+func (r Roster) Missing(known []uint64) []Member {
+	held := make(map[uint64]struct{}, len(known))
+	for _, fingerprint := range known {
+		held[fingerprint] = struct{}{}
+	}
+	return slices.DeleteFunc(r.Members(), func(member Member) bool {
+		_, ok := held[member.fingerprint()]
+		return ok
+	})
+}
+
 // HealthySlots sums the slots of a service that are in healthy states.
 func (r Roster) HealthySlots(service string) uint32 {
 	var slots uint32
--- a/transport/converter/converter.go
+++ b/transport/converter/converter.go
@@ -60,6 +60,7 @@
 		ConfigVersion: message.ConfigVersion,
 		Full:          message.Full,
 		WantFull:      message.WantFull,
+		Known:         message.Known,
 	}
 }
 
@@ -76,6 +77,7 @@
 		ConfigVersion: message.GetConfigVersion(),
 		Full:          message.GetFull(),
 		WantFull:      message.GetWantFull(),
+		Known:         message.GetKnown(),
 	}
 }
 
