gossiper: Tell other zones less, and of the own zone only

Change: with company in the own zone a seed is asked in one turn of 25. Other zones hear of the own zone's members only, from each member twice, in one ping of five spread evenly (before, bursts of far pings in one round of twelve). Full views of other zones are asked for at most every 4 s.

--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -24,11 +24,19 @@
 	maxChanges = 40
 	// spreadFactor multiplies the logarithm of the fleet's size into the sends of one change.
 	spreadFactor = 3
-	// fullPeriod is the least time between two questions for a full view.
-	fullPeriod = time.Second
-	// farRounds is how many rounds of pings there are to one that includes the
-	// members of other availability zones. Their own zones ping them in each.
-	farRounds = 12
+	// seedTurns is how many pings there are to one that goes to a seed address
+	// whose process is not known, once there is company.
+	seedTurns = 25
+	// outwardSends is how often each member of a zone tells other zones of one
+	// change there: all members of a zone together reach the others often enough.
+	outwardSends = 2
+	// fullPeriod is the least time between two questions for a full view, and
+	// farFullPeriod that between two to other availability zones.
+	fullPeriod    = time.Second
+	farFullPeriod = 4 * time.Second
+	// farTurns is how many pings there are to one that goes to another availability
+	// zone: bytes between zones are dear, and each zone finds its own members' ends.
+	farTurns = 5
 	// nearMembers is how many members of the own zone make far ones wait.
 	nearMembers = 3
 	// urgentTargets is how many members hear of an own change at once.
@@ -45,20 +53,32 @@
 	roster registrar.Roster
 	seeds  []string
 	random func() uint64
-	// pending holds the incarnations whose entries are still being spread.
+	// pending holds the incarnations whose entries are still being spread in the
+	// own zone, outward those still to be told to other zones.
 	pending map[uint64]spreading
-	// queue holds the members to ping next, in random order; gone ones are left out when drawn.
+	outward map[uint64]spreading
+	// queue and far hold the members of the own and of other zones to ping next,
+	// in random order; gone ones are left out when drawn.
 	queue []uint64
+	far   []uint64
 	// since tells when a member became unreachable or gone.
 	since map[uint64]clocker.Instant
 	// heard tells when each member last proved the path in both directions.
-	heard    map[uint64]clocker.Instant
-	lastFull clocker.Instant
-	seedNext int
-	version  uint64
-	urgent   bool
-	// rounds counts the refills of queue.
-	rounds int
+	heard map[uint64]clocker.Instant
+	// lastFull and lastFarFull tell when a full view was last asked for in the
+	// own zone and in others.
+	lastFull    clocker.Instant
+	lastFarFull clocker.Instant
+	seedNext    int
+	version     uint64
+	urgent      bool
+	// turns counts the pings drawn.
+	turns int
+	// company is set while the own zone has enough members to spread changes
+	// there; without them, queue holds the members of all zones.
+	company bool
+	// abroad is set while members of other zones are known.
+	abroad bool
 }
 
 // New returns the membership of a process that knows only itself and seed addresses.
@@ -69,10 +89,11 @@
 		seeds:   slices.DeleteFunc(slices.Clone(seeds), func(seed string) bool { return seed == self.Address }),
 		random:  random,
 		pending: map[uint64]spreading{},
+		outward: map[uint64]spreading{},
 		since:   map[uint64]clocker.Instant{},
 		heard:   map[uint64]clocker.Instant{},
 	}
-	g.pending[self.Incarnation] = spreading{}
+	g.spread(self)
 	return g
 }
 
@@ -100,7 +121,7 @@
 	member.Version = g.self.Version + 1
 	g.self = member
 	g.roster = g.roster.WithMember(member)
-	g.pending[member.Incarnation] = spreading{}
+	g.spread(member)
 	g.urgent = true
 }
 
@@ -118,8 +139,8 @@
 			pings = append(pings, g.ping(target))
 		}
 	}
-	if seed, ok := g.lonelySeed(); ok {
-		pings = append(pings, Ping{Address: seed, Message: g.message(true)})
+	if seed, ok := g.strangeSeed(); ok {
+		pings = append(pings, Ping{Address: seed, Message: g.message(registrar.Member{}, true)})
 	}
 	return pings
 }
@@ -130,7 +151,7 @@
 }
 
 func (g *Gossiper) ping(target registrar.Member) Ping {
-	return Ping{Address: target.Address, Incarnation: target.Incarnation, Message: g.message(false)}
+	return Ping{Address: target.Address, Incarnation: target.Incarnation, Message: g.message(target, false)}
 }
 
 // age turns unreachable members into gone ones and forgets those gone for long.
@@ -164,32 +185,51 @@
 	}
 }
 
-// draw returns the next member to ping: every member once, then in a new order.
+// draw returns the next member to ping: every member of the own availability
+// zone once, then in a new order, and in some turns one of another zone.
 func (g *Gossiper) draw() (registrar.Member, bool) {
+	g.turns++
+	if g.turns%farTurns == 0 && g.company && g.abroad {
+		if member, ok := g.drawFrom(&g.far); ok {
+			return member, true
+		}
+	}
+	return g.drawFrom(&g.queue)
+}
+
+func (g *Gossiper) drawFrom(queue *[]uint64) (registrar.Member, bool) {
 	for pass := 0; pass < 2; pass++ {
-		for len(g.queue) > 0 {
-			incarnation := g.queue[len(g.queue)-1]
-			g.queue = g.queue[:len(g.queue)-1]
+		for len(*queue) > 0 {
+			incarnation := (*queue)[len(*queue)-1]
+			*queue = (*queue)[:len(*queue)-1]
 			member, ok := g.roster.Member(incarnation)
 			if ok && member.State != registrar.StateGone {
 				return member, true
 			}
 		}
-		g.refill()
+		g.refill(queue)
 	}
 	return registrar.Member{}, false
 }
 
-func (g *Gossiper) refill() {
+func (g *Gossiper) refill(queue *[]uint64) {
 	near, far := g.others()
-	g.queue = append(g.queue, near...)
-	if g.rounds%farRounds == 0 || len(near) < nearMembers {
-		g.queue = append(g.queue, far...)
-	}
-	g.rounds++
-	for i := len(g.queue) - 1; i > 0; i-- {
+	g.company = len(near) >= nearMembers
+	switch {
+	case queue == &g.far:
+		*queue = append(*queue, far...)
+	case g.company:
+		*queue = append(*queue, near...)
+	default:
+		*queue = append(append(*queue, near...), far...)
+	}
+	g.abroad = len(far) > 0
+	if !g.abroad {
+		clear(g.outward)
+	}
+	for i := len(*queue) - 1; i > 0; i-- {
 		j := int(g.random() % uint64(i+1))
-		g.queue[i], g.queue[j] = g.queue[j], g.queue[i]
+		(*queue)[i], (*queue)[j] = (*queue)[j], (*queue)[i]
 	}
 }
 
@@ -207,8 +247,13 @@
 	return near, far
 }
 
-// lonelySeed returns a seed whose process is not known to be alive, in turn.
-func (g *Gossiper) lonelySeed() (string, bool) {
+// strangeSeed returns a seed whose process is not known to be alive, in turn. It
+// is asked for in each turn by a process with little company, and else in some:
+// parts of the fleet that lost sight of each other meet again by it.
+func (g *Gossiper) strangeSeed() (string, bool) {
+	if g.company && g.turns%seedTurns != 0 {
+		return "", false
+	}
 	for range g.seeds {
 		seed := g.seeds[g.seedNext%len(g.seeds)]
 		g.seedNext++
@@ -220,10 +265,11 @@
 	return "", false
 }
 
-func (g *Gossiper) message(wantFull bool) Message {
+// message returns what to tell a member; an empty one stands for an unknown receiver.
+func (g *Gossiper) message(to registrar.Member, wantFull bool) Message {
 	message := Message{
 		Sender:        g.self,
-		Changes:       g.takeChanges(),
+		Changes:       g.takeChanges(to.Zone),
 		Digest:        g.roster.Digest(),
 		ConfigVersion: g.version,
 		WantFull:      wantFull,
@@ -241,14 +287,15 @@
 	return message
 }
 
-// takeChanges returns the changes that were sent least often.
-func (g *Gossiper) takeChanges() []registrar.Member {
-	incarnations := make([]uint64, 0, len(g.pending))
-	for incarnation := range g.pending {
+// takeChanges returns the changes for a zone that were sent least often.
+func (g *Gossiper) takeChanges(zone string) []registrar.Member {
+	untold, enough := g.audience(zone)
+	incarnations := make([]uint64, 0, len(untold))
+	for incarnation := range untold {
 		incarnations = append(incarnations, incarnation)
 	}
 	slices.SortFunc(incarnations, func(a, b uint64) int {
-		if order := cmp.Compare(g.pending[a].sends, g.pending[b].sends); order != 0 {
+		if order := cmp.Compare(untold[a].sends, untold[b].sends); order != 0 {
 			return order
 		}
 		return cmp.Compare(a, b)
@@ -258,19 +305,32 @@
 		if member, ok := g.roster.Member(incarnation); ok {
 			changes = append(changes, member)
 		}
-		g.sent(incarnation)
+		change := untold[incarnation]
+		change.sends++
+		untold[incarnation] = change
+		if change.sends >= enough {
+			delete(untold, incarnation)
+		}
 	}
 	return changes
 }
 
-func (g *Gossiper) sent(incarnation uint64) {
-	change := g.pending[incarnation]
-	change.sends++
-	if change.sends >= spreadFactor*bits(g.roster.Len()) {
-		delete(g.pending, incarnation)
-		return
+// audience returns the changes that are still to be told to a zone, and how
+// often each is sent. Other zones hear of the own zone's members only: each zone
+// tells of its own, and what a cut path keeps back comes with the next full view.
+func (g *Gossiper) audience(zone string) (map[uint64]spreading, int) {
+	if zone == "" || zone == g.self.Zone || !g.company {
+		return g.pending, spreadFactor * bits(g.roster.Len())
+	}
+	return g.outward, outwardSends
+}
+
+// spread starts to tell of a change.
+func (g *Gossiper) spread(member registrar.Member) {
+	g.pending[member.Incarnation] = spreading{}
+	if member.Zone == g.self.Zone {
+		g.outward[member.Incarnation] = spreading{}
 	}
-	g.pending[incarnation] = change
 }
 
 func bits(n int) int {
@@ -284,7 +344,7 @@
 // Receive takes a message and returns the reply.
 func (g *Gossiper) Receive(now clocker.Instant, message Message) Message {
 	g.merge(now, message)
-	reply := g.message(g.needsFull(now, message))
+	reply := g.message(message.Sender, g.needsFull(now, message))
 	if message.WantFull {
 		return g.withDifference(reply, message)
 	}
@@ -297,24 +357,28 @@
 	g.heard[reply.Sender.Incarnation] = now
 	g.merge(now, reply)
 	if reply.WantFull {
-		message := g.withDifference(g.message(false), reply)
+		message := g.withDifference(g.message(reply.Sender, false), reply)
 		return []Ping{{Address: reply.Sender.Address, Incarnation: reply.Sender.Incarnation, Message: message}}
 	}
 	if g.needsFull(now, reply) {
-		return []Ping{{Address: reply.Sender.Address, Incarnation: reply.Sender.Incarnation, Message: g.message(true)}}
+		return []Ping{{Address: reply.Sender.Address, Incarnation: reply.Sender.Incarnation, Message: g.message(reply.Sender, true)}}
 	}
 	return nil
 }
 
 // needsFull tells whether the views still differ once changes have been exchanged.
 func (g *Gossiper) needsFull(now clocker.Instant, message Message) bool {
-	if message.Full || message.Digest == g.roster.Digest() || len(g.pending) > 0 {
+	if message.Full || message.Digest == g.roster.Digest() || len(g.pending)+len(g.outward) > 0 {
 		return false
 	}
-	if now.Since(g.lastFull) < fullPeriod {
+	last, period := &g.lastFull, fullPeriod
+	if g.company && message.Sender.Zone != g.self.Zone {
+		last, period = &g.lastFarFull, farFullPeriod
+	}
+	if now.Since(*last) < period {
 		return false
 	}
-	g.lastFull = now
+	*last = now
 	return true
 }
 
@@ -385,7 +449,7 @@
 		member = member.WithState(registrar.StateGone)
 	}
 	g.roster = g.roster.WithMember(member)
-	g.pending[member.Incarnation] = spreading{}
+	g.spread(member)
 	if !member.State.Live() {
 		g.since[member.Incarnation] = now
 	}
@@ -398,6 +462,6 @@
 	}
 	g.self = g.self.WithVersion(member.Version + 1)
 	g.roster = g.roster.WithMember(g.self)
-	g.pending[g.self.Incarnation] = spreading{}
+	g.spread(g.self)
 	g.urgent = true
 }
