--- a/commands/run.go
+++ b/commands/run.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("building the store's client: %w", err)
 	}
-	source := &platform.Source{Store: store, Log: log}
+	source := &platform.Source{Store: store, Log: log, Pause: platform.Pause}
 	decoder := platform.Decoder{FloorShare: settings.FloorShare, RetryShare: settings.RetryShare}
 	deps.Callers, deps.Servers = platform.Callers(), platform.Servers()
 	deps.Source = &runner.Source{
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -94,17 +94,17 @@
 // enlistAtSource leaves the own address and looks for others until both are done.
 func (r *Runner) enlistAtSource(ctx context.Context) error {
 	retry := peersRetry
-	enlisted := false
+	enlisted, found := false, false
 	for ctx.Err() == nil {
+		if enlisted && found && !r.alone() {
+			return nil
+		}
 		if !enlisted {
 			err := r.deps.Source.Enlist(ctx, r.deps.Settings.PeerAddress)
 			enlisted = err == nil
 			r.logStore("Enlisted", err)
 		}
-		found := r.seedFromSource(ctx)
-		if enlisted && found && !r.alone() {
-			return nil
-		}
+		found = r.seedFromSource(ctx) || found
 		pause(ctx, retry)
 		retry = min(2*retry, maxPeersRetry)
 	}
