checker: Name the field of a value of the wrong type

Cause: settings with a number where a time with its unit belongs were refused with file and line, but without the field; found by a table of faulty platform settings (empty address, unknown unit, missing part, unfilled placeholder). TestPlatformSettings/NumberWithoutUnit failed first; the other rows passed. Conclusion: a fault with a line takes the field that stands there.

--- a/state/checker/checker.go
+++ b/state/checker/checker.go
@@ -171,15 +171,21 @@
 	return fault
 }
 
-// located finds the field whose value a fault without a line quotes.
+// located finds the field that stands on a fault's line, or whose value a fault
+// without a line quotes.
 func located(fault Fault, node ast.Node) Fault {
 	mapping, ok := node.(*ast.MappingNode)
-	if !ok || fault.Line > 0 {
+	if !ok || fault.Field != "" {
 		return fault
 	}
 	for _, value := range mapping.Values {
 		token := value.Value.GetToken()
-		if token != nil && strings.Contains(fault.Reason, strconv.Quote(token.Value)) {
+		if token == nil {
+			continue
+		}
+		onLine := fault.Line > 0 && token.Position.Line == fault.Line
+		quoted := fault.Line == 0 && strings.Contains(fault.Reason, strconv.Quote(token.Value))
+		if onLine || quoted {
 			fault.Line = token.Position.Line
 			fault.Field = value.Key.String()
 			return fault
