--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -60,11 +60,6 @@
 	Origin string
 }
 
-// Load is what a backend server says of its own load.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Judgement is what the header fields of a backend server's answer show.
 type Judgement struct {
 	// NotRun means that the server says that it has not run the request and never will.
@@ -77,8 +72,6 @@
 	Echoed bool
 	// Unproven means that a successful answer lacks the server's own proof of origin.
 	Unproven bool
-	// Load is nil if the server does not tell.
-	Load *Load
 	// Idle is how long the server keeps the connection; 0 if it did not say.
 	Idle time.Duration
 }
--- a/transport/deliverer/deliverer.go
+++ b/transport/deliverer/deliverer.go
@@ -49,8 +49,6 @@
 	idle []*connection
 	// maxIdle bounds idle.
 	maxIdle int
-	// opened counts the connections opened.
-	opened int64
 }
 
 type connection struct {
@@ -80,13 +78,6 @@
 	d.idle = nil
 }
 
-// Opened counts the connections opened.
-func (d *Deliverer) Opened() int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.opened
-}
-
 // Judge reads an answer's head. Foreign answers are skipped.
 type Judge func(header *protocol.ResponseHeader) (foreign bool, idle time.Duration)
 
@@ -156,9 +147,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("connecting to %s: %w", address, err)
 	}
-	d.mu.Lock()
-	d.opened++
-	d.mu.Unlock()
 	return &connection{
 		raw:     raw,
 		reader:  reader.New(raw, maxHeadBytes),
