soaker: Play the demo on the platform's stand-in, check versions in time

Change: make demo plays a fixed plan (errors, kill, outage of the store, stop, drain, change) with the store, servers and callers of our own; the old one is make demo-own. One request in ten asks for the newest version's route: unknown 2 s after its acknowledgement, or unknown again later, breaks a promise through VMs that nothing disturbed. TestDemo and TestReloadsCutNothingOff run in make test.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build generate lint test fuzz demo prove measure measure-slopes clean
+.PHONY: build generate lint test fuzz demo demo-own prove measure measure-slopes clean
 
 build:
 	@mkdir -p $(BIN)
@@ -33,7 +33,11 @@
 	rm -rf $(BIN) out
 
 demo: build
-	scripts/demo
+	$(BIN)/standins demo --program $(BIN)/foxtailhall
+
+# demo-own plays the product's own interface, with the log in place of a store.
+demo-own: build
+	scripts/demo-own
 
 .PHONY: mutate soak platform-page
 
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -37,6 +37,41 @@
 	}
 }
 
+// TestDemo plays the demo, whose last version must be seen through all VMs.
+func TestDemo(t *testing.T) {
+	verdict, err := soaker.Run(context.Background(), soaker.Options{
+		Duration: soaker.DemoDuration, VMs: 9, Network: 110, Plan: soaker.DemoPlan(),
+		Program: filepath.Join(programs, "foxtailhall"), Folder: filepath.Join(t.TempDir(), "demo"),
+	})
+	require.NoError(t, err)
+	require.Empty(t, verdict.Failures)
+	require.Positive(t, verdict.Served)
+}
+
+// TestReloadsCutNothingOff reloads the settings of all processes in series and at
+// once, under load, twice while a version is published.
+func TestReloadsCutNothingOff(t *testing.T) {
+	const vms = 6
+	var plan soaker.Plan
+	for vm := range vms {
+		plan = append(plan, soaker.Event{At: time.Second, Kind: soaker.KindReload, VM: vm})
+	}
+	for vm := range vms {
+		at := 2*time.Second + time.Duration(vm)*150*time.Millisecond
+		plan = append(plan, soaker.Event{At: at, Kind: soaker.KindReload, VM: vm})
+		if vm%3 == 0 {
+			plan = append(plan, soaker.Event{At: at, Kind: soaker.KindPublish})
+		}
+	}
+	verdict, err := soaker.Run(context.Background(), soaker.Options{
+		Duration: 8 * time.Second, VMs: vms, Network: 111, Plan: plan,
+		Program: filepath.Join(programs, "foxtailhall"), Folder: filepath.Join(t.TempDir(), "reloads"),
+	})
+	require.NoError(t, err)
+	require.Empty(t, verdict.Failures)
+	require.Zero(t, verdict.Failed)
+}
+
 func TestPlansRepeat(t *testing.T) {
 	require.Equal(t, soaker.NewPlan(7, time.Minute, 9), soaker.NewPlan(7, time.Minute, 9))
 	require.NotEqual(t, soaker.NewPlan(7, time.Minute, 9), soaker.NewPlan(8, time.Minute, 9))
--- a/standins/main.go
+++ b/standins/main.go
@@ -152,6 +152,35 @@
 	return nil
 }
 
+type demoCommand struct {
+	Program string `long:"program" required:"true" description:"Path of the foxtailhall program"`
+	Folder  string `long:"folder" default:"out/demo" description:"Folder for plan, logs, verdict and report"`
+}
+
+// Execute plays the demo and prints its table.
+func (c *demoCommand) Execute([]string) error {
+	const vms = 9
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	plan := soaker.DemoPlan()
+	fmt.Printf("Store, %d processes and %d backend servers in 3 availability zones; callers for %s.\nTime, length, event, VM:\n%s\n",
+		vms, vms, soaker.DemoDuration, plan)
+	verdict, err := soaker.Run(ctx, soaker.Options{
+		Duration: soaker.DemoDuration, VMs: vms, Program: c.Program, Folder: c.Folder, Plan: plan,
+	})
+	if err != nil {
+		return err
+	}
+	if err := verdict.Table(os.Stdout); err != nil {
+		return err
+	}
+	if len(verdict.Failures) > 0 {
+		return eris.Errorf("something that must hold did not; logs are in %s:\n%s", c.Folder, verdict.Summary())
+	}
+	fmt.Printf("Everything that must hold held; logs are in %s\n", c.Folder)
+	return nil
+}
+
 type callersCommand struct {
 	Targets   []string      `long:"target" required:"true" description:"CallerAddress of a process; repeat for more"`
 	Rate      float64       `long:"rate" default:"100" description:"Operations a second"`
@@ -322,6 +351,7 @@
 		{"callers", "Run a load", &callersCommand{}},
 		{"relay", "Run a relay with one-way cuts", &relayCommand{}},
 		{"soak", "Strike a fleet on a platform with faults drawn from seeds", &soakCommand{}},
+		{"demo", "Play a fleet on a platform through a gray server, a kill, an outage and a change", &demoCommand{}},
 		{"measure", "Measure the decisions in virtual time", &measureCommand{}},
 		{"page", "Write figures as a page of tables", &pageCommand{}},
 		{"platform-page", "Write the journal of plays as a page of tables", &platformPageCommand{}},
--- a/standins/soaker/callers.go
+++ b/standins/soaker/callers.go
@@ -69,7 +69,10 @@
 func (f *fleet) exchange(v *vm, conn net.Conn, in *bufio.Reader, id string) bool {
 	got := answer{ID: id, VM: v.index, Path: "/read/a", Repeat: true, Sent: time.Now()}
 	method, body := http.MethodGet, ""
-	if rand.Float64() < writeShare {
+	switch draw := rand.Float64(); {
+	case draw < versionShare:
+		got.Path = f.newestPath()
+	case draw < versionShare+writeShare:
 		got.Path, got.Repeat = "/write/a", false
 		method, body = http.MethodPost, strings.Repeat("x", bodyBytes)
 	}
--- a/standins/soaker/fleet.go
+++ b/standins/soaker/fleet.go
@@ -58,9 +58,11 @@
 	ledger  *ledger
 	version int
 	// retired holds the servers that have left, with the time of the acknowledgement.
-	mu      sync.Mutex
-	retired []*tenant.Tenant
-	ended   sync.WaitGroup
+	mu           sync.Mutex
+	retired      []*tenant.Tenant
+	publications []publication
+	disturbances []disturbance
+	ended        sync.WaitGroup
 }
 
 func newFleet(options Options, book *ledger) *fleet {
@@ -251,7 +253,7 @@
 	add("routes", "write", write)
 	for i := 1; i <= f.version; i++ {
 		extra := read
-		extra.PathPrefix = fmt.Sprintf("/version%d/", i)
+		extra.PathPrefix = fmt.Sprintf("%s%d/", versionPath, i)
 		add("routes", fmt.Sprintf("version%d", i), extra)
 	}
 	text, err := json.Marshal(map[string]any{"version": fmt.Sprintf("%08x", f.version), "resources": resources})
@@ -259,6 +261,7 @@
 		return fmt.Errorf("encoding a version: %w", err)
 	}
 	f.store.Publish(text)
+	f.publications = append(f.publications, publication{version: f.version, at: time.Now()})
 	return nil
 }
 
--- a/standins/soaker/ledger.go
+++ b/standins/soaker/ledger.go
@@ -85,6 +85,7 @@
 	for _, server := range f.left() {
 		l.checkLeft(server)
 	}
+	l.checkVersions(f)
 }
 
 func (l *ledger) checkAnswer(f *fleet, got answer) {
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -28,6 +28,8 @@
 	Program string
 	// Folder takes plan, settings, logs, verdict and report.
 	Folder string
+	// Plan is what strikes; one is drawn from the seed if there is none.
+	Plan Plan
 	// Network is the third number of the loopback addresses.
 	Network int
 }
@@ -46,8 +48,11 @@
 type Verdict struct {
 	Plan     Plan
 	Failures []string
-	// Served, Refused and Failed count the requests by their ends.
-	Served, Refused, Failed int
+	// Served, Refused and Failed count the requests by their ends, Early those
+	// for a version that was not in force yet.
+	Served, Refused, Failed, Early int
+	// Spread is how long the last version took until a caller of each VM saw it.
+	Spread time.Duration
 }
 
 const (
@@ -62,7 +67,10 @@
 	if err := os.MkdirAll(options.Folder, 0o755); err != nil {
 		return Verdict{}, fmt.Errorf("making the folder: %w", err)
 	}
-	plan := NewPlan(options.Seed, options.Duration, options.VMs)
+	plan := options.Plan
+	if plan == nil {
+		plan = NewPlan(options.Seed, options.Duration, options.VMs)
+	}
 	if err := os.WriteFile(filepath.Join(options.Folder, "plan.txt"), []byte(plan.String()), 0o600); err != nil {
 		return Verdict{}, fmt.Errorf("writing the plan: %w", err)
 	}
@@ -90,6 +98,11 @@
 	book.check(f)
 	book.checkRecovery(began.Add(time.Duration((1-calmShare/2)*float64(options.Duration))), began.Add(options.Duration))
 	verdict := book.verdict(plan)
+	spread, whole := book.spread(f)
+	verdict.Spread = spread
+	if options.Plan != nil && !whole {
+		verdict.Failures = append(verdict.Failures, "ConfigurationInTime: the last version was not seen through all VMs")
+	}
 	if err := writeReport(options, verdict, book.answers, began); err != nil {
 		return verdict, fmt.Errorf("writing the report: %w", err)
 	}
@@ -119,11 +132,13 @@
 	defer l.mu.Unlock()
 	verdict := Verdict{Plan: plan, Failures: l.failures}
 	for _, got := range l.answers {
-		switch got.Status {
-		case 200:
+		switch {
+		case got.Status == 200:
 			verdict.Served++
-		case 503, 429:
+		case got.Status == 503 || got.Status == 429:
 			verdict.Refused++
+		case got.Status == 404 && versionOf(got.Path) > 0:
+			verdict.Early++
 		default:
 			verdict.Failed++
 		}
@@ -135,6 +150,7 @@
 func (f *fleet) play(ctx context.Context, plan Plan, began time.Time) {
 	for _, event := range plan {
 		time.Sleep(time.Until(began.Add(event.At)))
+		f.noteDisturbance(event)
 		undo := f.strike(ctx, event)
 		if undo != nil {
 			time.AfterFunc(event.Lasts, undo)
