router: End a search for retry budget after six guards

Ruled out: a budget left unused; the gap between repeats counted and the allowance is what calls of repeated runs are charged with. Change: a guard's refusal says that budget lacked; six of them end the search.

--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -118,6 +118,7 @@
 		Leaving:  refused.reason == reasonLeaving,
 		Ejected:  refused.reason == reasonEjected,
 		Doubtful: refused.reason == reasonDoubtful,
+		Unfunded: refused.reason == reasonNoBudget,
 		Busy:     refused.reason == reasonBusy || refused.reason == reasonQueueTimeout,
 		Load:     uint32(max(0, inFlight+waiting)),
 		Arrived:  refused.arrived,
--- a/transport/router/search.go
+++ b/transport/router/search.go
@@ -21,6 +21,9 @@
 	heavyBodyBytes = 16 << 10
 	// maxAsked bounds the attempts of one request.
 	maxAsked = 24
+	// maxUnfunded bounds the guards that refuse for want of retry budget. Where so
+	// many have none, the fleet has little, and what it has is found by others.
+	maxUnfunded = 6
 )
 
 // search finds the servers of one request's attempts.
@@ -33,13 +36,18 @@
 	// asked counts the attempts, and far those asked softly in other zones.
 	asked int
 	far   int
+	// unfunded counts the guards that had no retry budget.
+	unfunded int
 }
 
+// over tells whether no more servers are asked.
+func (s *search) over() bool { return s.asked >= maxAsked || s.unfunded >= maxUnfunded }
+
 // next returns the server to ask, and whether to insist. The entry's Server is
 // nil if there is none. Servers of the own availability zone come first at each
 // step, since bytes between zones are dear.
 func (s *search) next(r *Router, request *call) (tracker.Entry, picker.Reason, bool) {
-	if s.asked >= maxAsked || s.asked > 0 && r.heldOut(request) {
+	if s.over() || s.asked > 0 && r.heldOut(request) {
 		return tracker.Entry{}, picker.ReasonNone, false
 	}
 	s.asked++
@@ -101,6 +109,9 @@
 // note takes the end of an attempt.
 func (s *search) note(outcome *result, insisted bool) {
 	incarnation := outcome.entry.Member.Incarnation
+	if outcome.verdict != nil && outcome.verdict.Unfunded {
+		s.unfunded++
+	}
 	switch {
 	case outcome.soft() && outcome.verdict.Busy && insisted:
 		// What was refused before this one waited may have slots by now.
