--- a/commands/run.go
+++ b/commands/run.go
@@ -63,6 +63,11 @@
 		defer func() { _ = desk.Close() }()
 	}
 	go c.reload(ctx, asked, process, log)
+	again := make(chan os.Signal, 1)
+	defer close(again)
+	signal.Notify(again, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(again)
+	go hearStops(again, process)
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("running: %w", err)
 	}
@@ -72,6 +77,14 @@
 	return nil
 }
 
+// hearStops tells the process of each signal to stop, of those beside a stop
+// that has begun too.
+func hearStops(asked <-chan os.Signal, process *runner.Runner) {
+	for range asked {
+		process.StopAsked()
+	}
+}
+
 // reload takes the settings again at each SIGHUP. A faulty file changes nothing.
 func (c *runCommand) reload(ctx context.Context, asked <-chan os.Signal, process *runner.Runner, log *slog.Logger) {
 	for {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -96,6 +96,8 @@
 	// logReached is the monotonic time, in nanoseconds, of the last answer of the log.
 	logReached atomic.Int64
 	stopping   atomic.Bool
+	// stopAsked is the monotonic time of the latest request to stop, 0 before the first.
+	stopAsked atomic.Int64
 	// leave is closed when the backend server asks for a planned stop.
 	leave     chan struct{}
 	leaveOnce sync.Once
--- a/transport/runner/stop.go
+++ b/transport/runner/stop.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/stopper"
 )
 
 const (
@@ -14,21 +14,28 @@
 	closureTimeout = 3 * time.Second
 	// farewellTime lets the news of the stop spread before the process ends.
 	farewellTime = 300 * time.Millisecond
-	// refuseShare is the part of the time until the kill after which new requests
-	// are refused. What is taken before has the rest of the time to end.
-	refuseShare = 0.45
-	// cancelMargin is kept between the end of all requests and the kill. Within
-	// it the last answers are written and the fleet is told.
-	cancelMargin = 700 * time.Millisecond
+	// sameRequest is the time within which a signal and the stop that it causes
+	// are one request.
+	sameRequest = 100 * time.Millisecond
 	// answerTime is how long canceled requests may take to be answered.
 	answerTime = 250 * time.Millisecond
 )
 
+// StopAsked notes that the process was asked to stop, for the first time or again.
+func (r *Runner) StopAsked() {
+	now := r.now().Mono
+	before := time.Duration(r.stopAsked.Swap(int64(now)))
+	if before > 0 && now-before > sameRequest {
+		r.deps.Log.Info("StopAskedAgain", "Incarnation", r.incarnation, "Active", r.router.Active())
+	}
+}
+
 // stop is the planned stop: callers are sent elsewhere, the backend server
 // beside is drained, what runs is ended, and the fleet is told.
 func (r *Runner) stop(ctx context.Context) {
 	r.deps.Log.Info("Stopping", "Incarnation", r.incarnation, "Active", r.router.Active())
-	began := r.now()
+	r.stopAsked.CompareAndSwap(0, int64(r.now().Mono))
+	stop := stopper.New(r.now().Mono, r.settings.Load().StopLimit)
 	r.stopping.Store(true)
 	if r.deps.Source != nil {
 		go r.delist(ctx)
@@ -40,7 +47,7 @@
 	}()
 	pause(ctx, r.settings.Load().StopGrace)
 	r.router.Drain()
-	r.awaitDrained(ctx, began, left)
+	r.awaitDrained(ctx, stop, left)
 	if r.router.Active() > 0 {
 		r.deps.Log.Warn("RequestsCutOff", "Active", r.router.Active(), "StopLimit", r.settings.Load().StopLimit)
 		r.router.Cancel()
@@ -66,15 +73,15 @@
 
 // awaitDrained waits until callers and backend server are served to their ends,
 // or until the time before the kill is used up.
-func (r *Runner) awaitDrained(ctx context.Context, began clocker.Instant, left <-chan struct{}) {
-	limit := r.settings.Load().StopLimit
+func (r *Runner) awaitDrained(ctx context.Context, stop stopper.Stop, left <-chan struct{}) {
 	drained := false
 	for ctx.Err() == nil {
-		passed := r.now().Since(began)
-		if limit > 0 && passed > time.Duration(refuseShare*float64(limit)) {
+		now := r.now().Mono
+		stop = stop.WithAsked(time.Duration(r.stopAsked.Load()))
+		if stop.Refuses(now) {
 			r.router.Refuse()
 		}
-		if limit > 0 && passed > limit-cancelMargin {
+		if stop.Over(now) {
 			return
 		}
 		select {
