--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -98,7 +98,8 @@
 		HoldUs:      max(0, request.hold()-r.deps.Now().Since(request.began)).Microseconds(),
 		Insist:      insist,
 		Earlier:     uint32(request.arrivals),
-		Derived:     float32(request.derived),
+		Derived:     float32(request.kinship.Derived),
+		Claim:       request.kinship.Claim(request.rank()),
 		Offer:       true,
 	}
 	if !head.Offer {
--- a/transport/router/offer_test.go
+++ b/transport/router/offer_test.go
@@ -43,7 +43,7 @@
 	})
 	t.Run("CallsWaitLongerAndGoFirst", func(t *testing.T) {
 		called := *request
-		called.called = true
+		called.kinship.Called = true
 		require.Equal(t, 2400*time.Millisecond, called.hold())
 		require.Zero(t, called.rank())
 	})
