--- a/coordination/retrier/ancestry.go
+++ b/coordination/retrier/ancestry.go
@@ -3,26 +3,6 @@
 // maxRoutes bounds the routes that an Ancestry remembers.
 const maxRoutes = 4096
 
-// Kinship is what is known of the origin of a request that begins on a VM.
-type Kinship struct {
-	// Called is set if the backend server there may have called it.
-	Called bool
-	// Derived is the likelihood that a repeated run did, from 0 to 1.
-	Derived float64
-	// Urgency is the rank of the most urgent run there that calls, 0 if none is known.
-	Urgency uint32
-}
-
-// Claim orders the requests that want retry budget, 0 first. A call counts as a
-// little more urgent than the request whose run waits for it, since most of that
-// request's work is done; rank is the urgency of a caller's request, from 1.
-func (k Kinship) Claim(rank uint32) uint32 {
-	if !k.Called {
-		return 2 * rank
-	}
-	return 2*max(1, k.Urgency) - 1
-}
-
 // Ancestry tells how likely a request that begins on a VM was called by a
 // repeated run of the backend server there. Callers and the server of a VM can't
 // be told apart by their connections, but a server that runs nothing calls
--- a/coordination/retrier/fleet_test.go
+++ b/coordination/retrier/fleet_test.go
@@ -84,38 +84,6 @@
 	require.True(t, budget.Take())
 }
 
-func TestUrgentRepeatsComeFirst(t *testing.T) {
-	const urgent, other = 2, 4
-	budget := retrier.New(0)
-	budget.SetAllowance(retrier.Allowance{Share: 1, Burst: 4})
-	for budget.Take() {
-		continue
-	}
-	earn := func(tokens int) {
-		for range tokens {
-			budget.First()
-		}
-	}
-	at := time.Minute
-	t.Run("WithoutUrgentOnesAllMayTake", func(t *testing.T) {
-		earn(1)
-		require.True(t, budget.TakeRanked(at, other))
-	})
-	t.Run("TokensAreKeptForThem", func(t *testing.T) {
-		require.False(t, budget.TakeRanked(at, urgent))
-		earn(2)
-		require.False(t, budget.TakeRanked(at, other))
-		require.True(t, budget.TakeRanked(at, urgent))
-	})
-	t.Run("WhatIsBeyondIsForAll", func(t *testing.T) {
-		earn(2)
-		require.True(t, budget.TakeRanked(at, other))
-	})
-	t.Run("ForAWhile", func(t *testing.T) {
-		require.True(t, budget.TakeRanked(at+time.Minute, other))
-	})
-}
-
 func TestAncestry(t *testing.T) {
 	const called, asked = 1, 2
 	a := retrier.NewAncestry()
@@ -131,13 +99,3 @@
 		require.True(t, a.Called(called, 4))
 	})
 }
-
-func TestClaims(t *testing.T) {
-	const urgent, other = 2, 3
-	plain := retrier.Kinship{}
-	call := func(urgency uint32) retrier.Kinship { return retrier.Kinship{Called: true, Urgency: urgency} }
-	order := []uint32{
-		call(0).Claim(0), call(urgent).Claim(0), plain.Claim(urgent), call(other).Claim(0), plain.Claim(other),
-	}
-	require.IsIncreasing(t, order)
-}
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -74,10 +74,6 @@
 	perSecond atomic.Int64
 	// refilled is the monotonic time of the last refill.
 	refilled atomic.Int64
-	// wanted is the claim of the most urgent repeat that lately found no token,
-	// and wantedAt the monotonic time of that.
-	wanted   atomic.Uint32
-	wantedAt atomic.Int64
 }
 
 // New returns a full budget with the given share, from 0 to 1.
@@ -131,44 +127,14 @@
 // Return gives back a token of a repeat that has not reached the backend server.
 func (b *Budget) Return() { b.add(milli) }
 
-const (
-	// wantedTime is how long a repeat that found no token keeps tokens from less
-	// urgent ones. It is about the time that its router looks elsewhere.
-	wantedTime = time.Second
-	// keptShare of the burst is kept for more urgent repeats meanwhile.
-	keptShare = 0.5
-)
-
-// TakeRanked uses one token for a repeat with a claim, 0 for the most urgent,
-// and tells whether there was one. While more urgent repeats find none, the
-// others leave some of what is saved up.
-func (b *Budget) TakeRanked(now time.Duration, claim uint32) bool {
-	recent := b.wantedAt.Load() > 0 && now-time.Duration(b.wantedAt.Load()) < wantedTime
-	floor := int64(milli)
-	if recent && b.wanted.Load() < claim {
-		floor += int64(keptShare * float64(b.burst.Load()))
-	}
-	if b.take(floor) {
-		return true
-	}
-	if !recent || claim <= b.wanted.Load() {
-		b.wanted.Store(claim)
-		b.wantedAt.Store(max(1, int64(now)))
-	}
-	return false
-}
-
 // Take uses one token and tells whether there was one.
-func (b *Budget) Take() bool { return b.take(milli) }
-
-// take uses one token if there are so many thousandths.
-func (b *Budget) take(floor int64) bool {
+func (b *Budget) Take() bool {
 	if b.share.Load() == 0 {
 		return false
 	}
 	for {
 		have := b.tokens.Load()
-		if have < floor {
+		if have < milli {
 			return false
 		}
 		if b.tokens.CompareAndSwap(have, have-milli) {
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -115,7 +115,7 @@
 		g.budget.Charge(float64(work.head.Derived))
 		return true
 	}
-	return g.budget.TakeRanked(now.Mono, work.head.Claim)
+	return g.budget.Take()
 }
 
 // returnBudget gives back what an attempt took that its server never gets.
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -115,25 +115,18 @@
 }
 
 // Kinship tells whether a request that begins on this VM may have been called by
-// the backend server, and by which of its runs.
-func (g *Guard) Kinship(route uint64) retrier.Kinship {
+// the backend server, and how likely the run that called it was a repeated one.
+func (g *Guard) Kinship(route uint64) (called bool, derived float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	repeats := 0
-	urgency := uint32(0)
 	for _, work := range g.running {
 		if work.head.Earlier > 0 {
 			repeats++
 		}
-		if rank := work.head.Rank; rank > 0 && (urgency == 0 || rank < urgency) {
-			urgency = rank
-		}
-	}
-	return retrier.Kinship{
-		Derived: g.ancestry.Derived(route, len(g.running), repeats),
-		Called:  g.ancestry.Called(route, len(g.running)),
-		Urgency: urgency,
 	}
+	derived = g.ancestry.Derived(route, len(g.running), repeats)
+	return g.ancestry.Called(route, len(g.running)), derived
 }
 
 // Standing returns what the fleet is told of the backend server.
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -40,8 +40,10 @@
 	service    cataloger.Service
 	policy     cataloger.Policy
 	idempotent bool
-	// kinship tells whether the backend server of the VM may have called the request.
-	kinship retrier.Kinship
+	// called is set if the backend server of the VM may have called the request,
+	// and derived is the likelihood that a repeated run did.
+	called  bool
+	derived float64
 	key     string
 	keyMs   int64
 	// bound is set if key is a bound key.
@@ -63,7 +65,7 @@
 // rank is the urgency among the requests that wait for one server. Calls come
 // first, since the run that waits for them holds a slot elsewhere.
 func (c *call) rank() uint32 {
-	if c.kinship.Called {
+	if c.called {
 		return 0
 	}
 	return c.route.Priority + 1
@@ -82,7 +84,7 @@
 	switch {
 	case c.route.Objective == 0:
 		return 0
-	case c.kinship.Called:
+	case c.called:
 		return time.Duration(calledHoldShare * float64(c.patience))
 	default:
 		return time.Duration(holdShare * float64(min(c.route.Objective, c.patience)))
@@ -139,7 +141,7 @@
 	}
 	request.route = route
 	request.routeHash = hashOf(route.Name)
-	request.kinship = r.deps.Kinship(request.routeHash)
+	request.called, request.derived = r.deps.Kinship(request.routeHash)
 	request.service, _ = catalog.Service(route.Pick(r.point()))
 	request.policy, _ = catalog.Policy(request.service.Policy)
 	if request.length > request.service.MaxBodyBytes {
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -98,8 +98,7 @@
 		HoldUs:      max(0, request.hold()-r.deps.Now().Since(request.began)).Microseconds(),
 		Insist:      insist,
 		Earlier:     uint32(request.arrivals),
-		Derived:     float32(request.kinship.Derived),
-		Claim:       request.kinship.Claim(request.rank()),
+		Derived:     float32(request.derived),
 		Offer:       true,
 	}
 	if !head.Offer {
--- a/transport/router/offer_test.go
+++ b/transport/router/offer_test.go
@@ -43,7 +43,7 @@
 	})
 	t.Run("CallsWaitLongerAndGoFirst", func(t *testing.T) {
 		called := *request
-		called.kinship.Called = true
+		called.called = true
 		require.Equal(t, 2400*time.Millisecond, called.hold())
 		require.Zero(t, called.rank())
 	})
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -14,7 +14,6 @@
 
 	"github.com/foxtailhall/foxtailhall/coordination/claimer"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
-	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
@@ -45,8 +44,9 @@
 	// Origin returns the service of the VM, told to backend servers with each request.
 	Origin func() string
 	// Kinship tells whether a request of a route, by the hash of its name, may
-	// have been called by the backend server of the VM, and by which runs.
-	Kinship func(route uint64) retrier.Kinship
+	// have been called by the backend server of the VM, and how likely the run
+	// that called it was a repeated one.
+	Kinship func(route uint64) (called bool, derived float64)
 	// Ready tells whether the process knows a configuration.
 	Ready func() bool
 	// Guard returns a client of the guard at an address.
