gossiper: Test and measure gossip over availability zones

TestGossipOverZones (40 members, 4 zones): everyone learns of everyone, a change is everywhere within 5 s, a dead member is gone, a zone behind a cut comes back, a zone may have one member.

--- a/coordination/gossiper/gossiper_test.go
+++ b/coordination/gossiper/gossiper_test.go
@@ -23,12 +23,19 @@
 	cut     map[[2]int]bool
 	now     time.Duration
 	places  map[string]int
-	bytes   int
+	// zones is how many availability zones the members stand in.
+	zones int
+	bytes int
+	// farBytes are those between zones.
+	farBytes int
 }
 
-func newVillage(count int, seed uint64) *village {
+func newVillage(count int, seed uint64) *village { return newZonedVillage(count, 1, seed) }
+
+func newZonedVillage(count, zones int, seed uint64) *village {
 	v := &village{
 		random: rand.New(rand.NewPCG(seed, 1)), down: map[int]bool{}, cut: map[[2]int]bool{}, places: map[string]int{},
+		zones: zones,
 	}
 	for i := range count {
 		v.places[v.entry(i).Address] = i
@@ -41,7 +48,7 @@
 	return registrar.Member{
 		Incarnation: uint64(i + 1), Address: fmt.Sprintf("10.0.%d.%d:8001", i/250, i%250),
 		HTTPAddress: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
-		Zone:        "zone-1", Service: fmt.Sprintf("service-%d", i/37), Slots: 4, State: registrar.StateServing, Version: 1,
+		Zone:        fmt.Sprintf("zone-%d", i%v.zones), Service: fmt.Sprintf("service-%d", i/37), Slots: 4, State: registrar.StateServing, Version: 1,
 	}
 }
 
@@ -58,9 +65,12 @@
 	if v.down[to] || v.cut[[2]int{from, to}] {
 		return gossiper.Message{}, false
 	}
-	v.bytes += proto.Size(converter.GossipTo(message))
 	reply := v.members[to].Receive(v.instant(), message)
-	v.bytes += proto.Size(converter.GossipTo(reply))
+	size := proto.Size(converter.GossipTo(message)) + proto.Size(converter.GossipTo(reply))
+	v.bytes += size
+	if from%v.zones != to%v.zones {
+		v.farBytes += size
+	}
 	return reply, !v.cut[[2]int{to, from}] && !v.down[from]
 }
 
@@ -185,6 +195,75 @@
 	})
 }
 
+func TestGossipOverZones(t *testing.T) {
+	const size, zones, limit = 40, 4, 300
+	t.Run("EveryoneLearnsOfEveryone", func(t *testing.T) {
+		v := newZonedVillage(size, zones, 11)
+		require.Less(t, v.until(limit, v.full), limit)
+	})
+	t.Run("ChangesReachEveryone", func(t *testing.T) {
+		v := newZonedVillage(size, zones, 12)
+		v.until(limit, v.full)
+		v.rounds(limit)
+		v.members[7].SetSelf(v.members[7].Self().WithState(registrar.StateLeaving))
+		rounds := v.until(limit, func() bool { return v.agree(7, registrar.StateLeaving) })
+		require.Less(t, time.Duration(rounds)*gossiper.PingPeriod, 5*time.Second)
+	})
+	t.Run("DeadMemberIsGone", func(t *testing.T) {
+		v := newZonedVillage(size, zones, 13)
+		v.until(limit, v.full)
+		v.down[5] = true
+		require.Less(t, v.until(limit, func() bool { return v.agree(5, registrar.StateGone) }), limit)
+	})
+	t.Run("ZoneBehindACutComesBack", func(t *testing.T) {
+		v := newZonedVillage(size, zones, 14)
+		v.until(limit, v.full)
+		for i := range size {
+			for j := range size {
+				v.cut[[2]int{i, j}] = (i%zones == 0) != (j%zones == 0)
+			}
+		}
+		v.rounds(100)
+		v.members[1].SetSelf(v.members[1].Self().WithState(registrar.StateEjected))
+		v.members[4].SetSelf(v.members[4].Self().WithState(registrar.StateEjected))
+		v.rounds(20)
+		clear(v.cut)
+		back := func() bool { return v.agree(1, registrar.StateEjected) && v.agree(4, registrar.StateEjected) }
+		require.Less(t, v.until(limit, back), limit)
+	})
+	t.Run("ZoneOfOneMember", func(t *testing.T) {
+		v := newZonedVillage(5, 5, 15)
+		v.until(limit, v.full)
+		v.members[3].SetSelf(v.members[3].Self().WithState(registrar.StateLeaving))
+		require.Less(t, v.until(limit, func() bool { return v.agree(3, registrar.StateLeaving) }), 50)
+	})
+}
+
+// BenchmarkGossipOverZones measures the bytes between 4 zones, calm and for one change.
+func BenchmarkGossipOverZones(b *testing.B) {
+	const zones = 4
+	for _, size := range []int{30, 100, 300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			v := newZonedVillage(size, zones, 9)
+			v.until(1000, v.full)
+			v.rounds(300)
+			v.farBytes = 0
+			b.ResetTimer()
+			for range b.N {
+				v.rounds(1)
+			}
+			b.StopTimer()
+			calm := float64(v.farBytes) / float64(b.N*size)
+			b.ReportMetric(calm, "farB/member-period")
+			const rounds = 60
+			v.farBytes = 0
+			v.members[1].SetSelf(v.members[1].Self().WithState(registrar.StateEjected))
+			v.rounds(rounds)
+			b.ReportMetric(float64(v.farBytes)/float64(size)-rounds*calm, "farB/change-member")
+		})
+	}
+}
+
 // BenchmarkGossipPeriod measures what one calm process spends in one ping
 // period, and what one change costs the fleet in bytes for each member.
 func BenchmarkGossipPeriod(b *testing.B) {
