--- a/coordination/gossiper/gossiper_test.go
+++ b/coordination/gossiper/gossiper_test.go
@@ -48,7 +48,8 @@
 	return registrar.Member{
 		Incarnation: uint64(i + 1), Address: fmt.Sprintf("10.0.%d.%d:8001", i/250, i%250),
 		HTTPAddress: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
-		Zone:        fmt.Sprintf("zone-%d", i%v.zones), Service: fmt.Sprintf("service-%d", i/37), Slots: 4, State: registrar.StateServing, Version: 1,
+		Zone:        fmt.Sprintf("zone-%d", i%v.zones),
+		Service:     fmt.Sprintf("service-%d", i/37), Slots: 4, State: registrar.StateServing, Version: 1,
 	}
 }
 
--- a/standins/main.go
+++ b/standins/main.go
@@ -9,14 +9,12 @@
 	"io"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/jessevdk/go-flags"
-	"github.com/rotisserie/eris"
 
 	"github.com/foxtailhall/foxtailhall/standins/caller"
 	"github.com/foxtailhall/foxtailhall/standins/measurer"
@@ -24,7 +22,6 @@
 	"github.com/foxtailhall/foxtailhall/standins/recorder"
 	"github.com/foxtailhall/foxtailhall/standins/relayer"
 	"github.com/foxtailhall/foxtailhall/standins/reporter"
-	"github.com/foxtailhall/foxtailhall/standins/soaker"
 	"github.com/foxtailhall/foxtailhall/standins/worker"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
@@ -110,77 +107,6 @@
 	return pager.Write(os.Stdout, entries, notes)
 }
 
-type soakCommand struct {
-	Program  string        `long:"program" required:"true" description:"Path of the foxtailhall program"`
-	Folder   string        `long:"folder" default:"out/soak" description:"Folder for plans, logs, verdicts and reports"`
-	Seed     uint64        `long:"seed" description:"First seed; the time of day if it is not given"`
-	Runs     int           `long:"runs" default:"1" description:"Runs, each with the next seed"`
-	Duration time.Duration `long:"duration" default:"20s" description:"Length of the load of one run"`
-	VMs      int           `long:"vms" default:"9" description:"VMs, each with a process and a backend server"`
-	Network  int           `long:"network" default:"1" description:"Third number of the loopback addresses"`
-}
-
-// Execute plays the seeds one after the other and fails if a promise was broken.
-func (c *soakCommand) Execute([]string) error {
-	seed := c.Seed
-	if seed == 0 {
-		seed = uint64(time.Now().Unix())
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	broken := 0
-	for run := range c.Runs {
-		next := seed + uint64(run)
-		verdict, err := soaker.Run(ctx, soaker.Options{
-			Seed: next, Duration: c.Duration, VMs: c.VMs, Program: c.Program, Network: c.Network,
-			Folder: filepath.Join(c.Folder, strconv.FormatUint(next, 10)),
-		})
-		if err != nil {
-			return err
-		}
-		fmt.Printf("seed %d: %s", next, verdict.Summary())
-		if len(verdict.Failures) > 0 {
-			broken++
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if broken > 0 {
-		return eris.Errorf("%d of %d runs broke a promise", broken, c.Runs)
-	}
-	return nil
-}
-
-type demoCommand struct {
-	Program string `long:"program" required:"true" description:"Path of the foxtailhall program"`
-	Folder  string `long:"folder" default:"out/demo" description:"Folder for plan, logs, verdict and report"`
-}
-
-// Execute plays the demo and prints its table.
-func (c *demoCommand) Execute([]string) error {
-	const vms = 9
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	plan := soaker.DemoPlan()
-	fmt.Printf("Store, %d processes and %d backend servers in 3 availability zones; callers for %s.\nTime, length, event, VM:\n%s\n",
-		vms, vms, soaker.DemoDuration, plan)
-	verdict, err := soaker.Run(ctx, soaker.Options{
-		Duration: soaker.DemoDuration, VMs: vms, Program: c.Program, Folder: c.Folder, Plan: plan,
-	})
-	if err != nil {
-		return err
-	}
-	if err := verdict.Table(os.Stdout); err != nil {
-		return err
-	}
-	if len(verdict.Failures) > 0 {
-		return eris.Errorf("something that must hold did not; logs are in %s:\n%s", c.Folder, verdict.Summary())
-	}
-	fmt.Printf("Everything that must hold held; logs are in %s\n", c.Folder)
-	return nil
-}
-
 type callersCommand struct {
 	Targets   []string      `long:"target" required:"true" description:"CallerAddress of a process; repeat for more"`
 	Rate      float64       `long:"rate" default:"100" description:"Operations a second"`
