router: Take no long requests during a planned stop

Change: a process that stops refuses, not run, what mostly takes longer than it has left: half of the route's objective, or the late time seen if that is longer.

--- a/coordination/stopper/stopper.go
+++ b/coordination/stopper/stopper.go
@@ -38,6 +38,10 @@
 	return s.limit > 0 && now-s.first > time.Duration(refuseShare*float64(s.limit))
 }
 
+// Fits tells whether a request that mostly ends within a time would do so before
+// what still runs is ended.
+func (s Stop) Fits(now, takes time.Duration) bool { return !s.Over(now + takes) }
+
 // Over tells whether what still runs must be ended.
 func (s Stop) Over(now time.Duration) bool {
 	return s.limit > 0 && now-s.last > s.limit-cancelMargin
--- a/coordination/stopper/stopper_test.go
+++ b/coordination/stopper/stopper_test.go
@@ -25,6 +25,11 @@
 		require.True(t, again.Over(asked+7500*time.Millisecond))
 		require.True(t, again.Refuses(asked+3*time.Second), "new requests still go elsewhere")
 	})
+	t.Run("FitsWhatEndsInTime", func(t *testing.T) {
+		require.True(t, stop.Fits(asked+time.Second, 4*time.Second))
+		require.False(t, stop.Fits(asked+time.Second, 5*time.Second))
+		require.True(t, stopper.New(asked, 0).Fits(asked, time.Hour))
+	})
 	t.Run("WithoutAKill", func(t *testing.T) {
 		free := stopper.New(asked, 0)
 		require.False(t, free.Refuses(asked+time.Hour))
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -149,9 +149,26 @@
 	}
 	request.patience = patienceOf(request)
 	request.idempotent = idempotent(request)
+	if !r.fits(request) {
+		return notRun(consts.StatusServiceUnavailable, "StoppingBeforeItsEnd")
+	}
 	return r.admitKey(request)
 }
 
+// longShare is the part of a route's objective that its requests are expected to
+// take, as far as the router has not seen longer ones: one process sees few.
+const longShare = 0.5
+
+// fits tells whether a request of a route that mostly takes long would end
+// before a planned stop cuts it off. Elsewhere it can run to its end.
+func (r *Router) fits(request *call) bool {
+	takes := time.Duration(longShare * float64(request.route.Objective))
+	if lane := r.deps.Lanes.Lane(request.service.Name); lane != nil {
+		takes = max(takes, lane.Late.Delay(request.routeHash))
+	}
+	return r.deps.Fits(takes)
+}
+
 // point returns a random number between 0 and 1.
 func (r *Router) point() float64 {
 	const mantissaBits = 53
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -47,6 +47,9 @@
 	// have been called by the backend server of the VM, and how likely the run
 	// that called it was a repeated one.
 	Kinship func(route uint64) (called bool, derived float64)
+	// Fits tells whether a request that mostly ends within a time would do so
+	// before a planned stop ends what runs; always true without one.
+	Fits func(takes time.Duration) bool
 	// Ready tells whether the process knows a configuration.
 	Ready func() bool
 	// Guard returns a client of the guard at an address.
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/publisher"
+	"github.com/foxtailhall/foxtailhall/coordination/stopper"
 	"github.com/foxtailhall/foxtailhall/protocol/answerer"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
@@ -96,6 +97,8 @@
 	// logReached is the monotonic time, in nanoseconds, of the last answer of the log.
 	logReached atomic.Int64
 	stopping   atomic.Bool
+	// planned holds the planned stop once it has begun.
+	planned atomic.Pointer[stopper.Stop]
 	// stopAsked is the monotonic time of the latest request to stop, 0 before the first.
 	stopAsked atomic.Int64
 	// leave is closed when the backend server asks for a planned stop.
@@ -194,6 +197,7 @@
 		Callers:     r.deps.Callers,
 		Origin:      func() string { return r.settings.Load().Service },
 		Kinship:     r.guard.Kinship,
+		Fits:        r.fits,
 		Ready:       func() bool { return r.deps.Source == nil || r.configured() },
 		KeyPath:     r.keyPath(),
 		Claim:       r.claims.Claim,
--- a/transport/runner/stop.go
+++ b/transport/runner/stop.go
@@ -36,6 +36,7 @@
 	r.deps.Log.Info("Stopping", "Incarnation", r.incarnation, "Active", r.router.Active())
 	r.stopAsked.CompareAndSwap(0, int64(r.now().Mono))
 	stop := stopper.New(r.now().Mono, r.settings.Load().StopLimit)
+	r.planned.Store(&stop)
 	r.stopping.Store(true)
 	if r.deps.Source != nil {
 		go r.delist(ctx)
@@ -61,6 +62,13 @@
 	pause(ctx, farewellTime)
 }
 
+// fits tells whether a request that mostly ends within a time would do so before
+// a planned stop ends what runs.
+func (r *Runner) fits(takes time.Duration) bool {
+	stop := r.planned.Load()
+	return stop == nil || stop.Fits(r.now().Mono, takes)
+}
+
 // leaveService takes the backend server out of service and leaves the guard's last word.
 func (r *Runner) leaveService(ctx context.Context) {
 	if err := r.guard.Leave(ctx); err != nil {
