logwriter: Report dropped lines once per second

Cause: the writer's goroutine reported the drops at each wake-up, so it could run between two dropped lines and report them in two events. TestLineRateIsLimited wants one. Drops are now reported where the second changes and at the end, under the lock, without the goroutine's timing. The test is stricter by one check: the event is written once.

--- a/transport/logwriter/logwriter.go
+++ b/transport/logwriter/logwriter.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -34,7 +33,7 @@
 	linesInSecond int
 	closed        bool
 	// dropped is the number of lines dropped since the last LinesDropped event.
-	dropped atomic.Int64
+	dropped int
 	wake    chan struct{}
 	done    chan struct{}
 }
@@ -52,11 +51,14 @@
 	defer w.mu.Unlock()
 	second := w.now().Unix()
 	if second != w.second {
+		if len(w.buffered) < maxBufferedBytes {
+			w.reportDropped()
+		}
 		w.second, w.linesInSecond = second, 0
 	}
 	w.linesInSecond++
 	if w.closed || w.linesInSecond > MaxLinesPerSecond || len(w.buffered)+len(line) > maxBufferedBytes {
-		w.dropped.Add(1)
+		w.dropped++
 		return len(line), nil
 	}
 	w.buffered = append(w.buffered, line...)
@@ -67,6 +69,18 @@
 	return len(line), nil
 }
 
+// reportDropped appends one event for all lines dropped since the previous event.
+// It is called once per second and at the end, so that drops don't flood the log.
+// The caller holds the lock.
+func (w *Writer) reportDropped() {
+	if w.dropped == 0 || w.closed {
+		return
+	}
+	w.buffered = fmt.Appendf(w.buffered, "Time=%s Level=WARN Event=LinesDropped Count=%d\n",
+		w.now().UTC().Format(time.RFC3339Nano), w.dropped)
+	w.dropped = 0
+}
+
 // run writes all buffered lines at each wake-up.
 func (w *Writer) run() {
 	defer close(w.done)
@@ -75,10 +89,6 @@
 		lines, closed := w.buffered, w.closed
 		w.buffered = nil
 		w.mu.Unlock()
-		if dropped := w.dropped.Swap(0); dropped > 0 {
-			lines = fmt.Appendf(lines, "Time=%s Level=WARN Event=LinesDropped Count=%d\n",
-				w.now().UTC().Format(time.RFC3339Nano), dropped)
-		}
 		_, _ = w.out.Write(lines)
 		if closed {
 			return
@@ -90,6 +100,7 @@
 // closeTimeout.
 func (w *Writer) Close() {
 	w.mu.Lock()
+	w.reportDropped()
 	w.closed = true
 	w.mu.Unlock()
 	select {
--- a/transport/logwriter/logwriter_test.go
+++ b/transport/logwriter/logwriter_test.go
@@ -45,7 +45,10 @@
 		_, err := w.Write(line)
 		require.NoError(t, err)
 	}
-	require.Positive(t, w.dropped.Load(), "lines above the bound are dropped and counted")
+	w.mu.Lock()
+	dropped := w.dropped
+	w.mu.Unlock()
+	require.Positive(t, dropped, "lines above the bound are dropped and counted")
 	require.NoError(t, stuck.Close())
 	w.Close()
 }
@@ -63,4 +66,29 @@
 	w.Close()
 	require.Equal(t, MaxLinesPerSecond, strings.Count(out.text.String(), "x\n"))
 	require.Contains(t, out.text.String(), "Event=LinesDropped Count=10")
+	require.Equal(t, 1, strings.Count(out.text.String(), "LinesDropped"))
+}
+
+func TestDroppedLinesAreReportedOncePerSecond(t *testing.T) {
+	out := &output{}
+	w := New(out)
+	second := int64(1)
+	w.mu.Lock()
+	w.now = func() time.Time { return time.Unix(second, 0) }
+	w.mu.Unlock()
+	for _, dropped := range []int{3, 0, 5} {
+		for range MaxLinesPerSecond + dropped {
+			_, err := w.Write([]byte("x\n"))
+			require.NoError(t, err)
+		}
+		w.mu.Lock()
+		second++
+		w.mu.Unlock()
+	}
+	w.Close()
+	text := out.text.String()
+	require.Equal(t, 3*MaxLinesPerSecond, strings.Count(text, "x\n"))
+	require.Equal(t, 2, strings.Count(text, "LinesDropped"))
+	require.Contains(t, text, "Event=LinesDropped Count=3\n")
+	require.Contains(t, text, "Event=LinesDropped Count=5\n")
 }
