--- a/transport/connector/connector.go
+++ b/transport/connector/connector.go
@@ -36,13 +36,16 @@
 // Connector opens and pools connections. It is safe for concurrent use.
 type Connector struct {
 	pool *drpcpool.Pool[string, drpcpool.Conn]
+	// count is told the length of each message; it may be nil.
+	count ByteCounter
 	// dial opens a TCP connection. Tests may replace it.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // New returns a connector without connections. Its connections use the given source IP
 // address, unless it is nil, so that peers see the address that the process is known by.
-func New(source net.IP) *Connector {
+// count, unless it is nil, is told the length of each message.
+func New(source net.IP, count ByteCounter) *Connector {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
@@ -52,14 +55,19 @@
 			Expiration:  idleExpiry,
 			KeyCapacity: maxIdlePerGuard,
 		}),
-		dial: dialer.DialContext,
+		dial:  dialer.DialContext,
+		count: count,
 	}
 }
 
 // GuardClient returns a client of the guard at an IP:port. Concurrent calls use separate
 // connections, since a connection carries one call at a time.
 func (c *Connector) GuardClient(ctx context.Context, address string) messenger.DRPCGuardClient {
-	return messenger.NewDRPCGuardClient(c.pool.Get(ctx, address, c.open))
+	conn := c.pool.Get(ctx, address, c.open)
+	if c.count == nil {
+		return messenger.NewDRPCGuardClient(conn)
+	}
+	return messenger.NewDRPCGuardClient(&countingConn{Conn: conn, address: address, count: c.count})
 }
 
 func (c *Connector) open(ctx context.Context, address string) (drpcpool.Conn, error) {
--- a/transport/meter/meter.go
+++ b/transport/meter/meter.go
@@ -43,6 +43,13 @@
 	m.set.GetOrCreateCounter("foxtailhall_events_total{event=" + strconv.Quote(name) + "}").Inc()
 }
 
+// CountPeerBytes counts the bytes of a message to or from another process, by call
+// and by the relation of the two availability zones.
+func (m *Meter) CountPeerBytes(method, zone string, bytes int) {
+	m.set.GetOrCreateCounter("foxtailhall_peer_bytes_total{method=" + strconv.Quote(method) +
+		",zone=" + strconv.Quote(zone) + "}").Add(bytes)
+}
+
 // RegisterGauge adds a gauge whose value is read at each scrape. The name gets the
 // prefix foxtailhall_.
 func (m *Meter) RegisterGauge(name string, read func() float64) {
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -118,6 +118,20 @@
 	}
 }
 
+// countPeerBytes counts the bytes of a message to or from another process, by the
+// call and by whether it crosses the border of the own availability zone.
+func (r *Runner) countPeerBytes(address, method string, bytes int) {
+	member, ok := r.roster.Load().MemberAt(address)
+	relation := "Unknown"
+	switch {
+	case ok && member.Zone == r.deps.Settings.Zone:
+		relation = "Same"
+	case ok:
+		relation = "Other"
+	}
+	r.deps.Meter.CountPeerBytes(method, relation, bytes)
+}
+
 // recordContact records that the path to a member works in both directions.
 func (r *Runner) recordContact(incarnation uint64) {
 	if server := r.trackedServer(incarnation); server != nil {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -124,7 +124,6 @@
 		deps:            deps,
 		started:         time.Now(),
 		appender:        log,
-		connector:       connector.New(sourceIP(deps.Settings.PeerListen)),
 		serviceTable:    router.NewServiceTable(),
 		refresh:         make(chan struct{}, 1),
 		ejectors:        map[string]*ejector.Ejector{},
@@ -132,6 +131,7 @@
 		leaveRequested:  make(chan struct{}),
 		stopped:         make(chan struct{}),
 	}
+	r.connector = connector.New(sourceIP(deps.Settings.PeerListen), r.countPeerBytes)
 	r.incarnation = uint64(r.started.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
 	logState := publisher.New(deps.Parser)
 	r.logState.Store(&logState)
