retrier: Charge derived calls to the requests that make them, and start without tokens

A call was charged by the share of repeats among all running requests, also those of routes that never make that call. The estimator now learns which routes make a call, from calls that come while a single request runs. A process also started with a full bucket, so a restart gave it its share of the window twice. Tests: KnownParentsAlone and TestDerivedCallsAreCharged (new); TestFleetKeepsItsBound restarts all servers now and was red with full buckets (10 of 9.5 allowed).

--- a/coordination/retrier/fleet_test.go
+++ b/coordination/retrier/fleet_test.go
@@ -1,6 +1,8 @@
 package retrier_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,8 +13,8 @@
 )
 
 // TestFleetKeepsItsBound generates requests and retries at all servers of a
-// service and checks that the retries within any window stay within the fleet's
-// share and slack.
+// service, which all restart at times, and checks that the retries within any window stay
+// within the fleet's share and slack.
 func TestFleetKeepsItsBound(t *testing.T) {
 	const (
 		window = 10 * time.Second
@@ -23,16 +25,24 @@
 		servers := rapid.IntRange(1, 30).Draw(t, "servers")
 		limit := retrier.FleetLimit{Share: 0.2, Slack: rapid.Float64Range(0, 200).Draw(t, "slack"), Window: window}
 		budgets := make([]*retrier.Budget, servers)
+		started := make([]int, servers)
 		for i := range budgets {
 			budgets[i] = retrier.New(0)
 			budgets[i].SetAllowance(limit.Allowance(servers))
 		}
+		restarts := rapid.SliceOfN(rapid.IntRange(0, steps-1), 0, 4).Draw(t, "restartsOfAll")
 		busy := rapid.IntRange(0, 6).Draw(t, "busy")
 		attempts := rapid.IntRange(0, 3).Draw(t, "greedy")
 		var requests, retries [steps]int
 		for i := range steps {
+			for n := range budgets {
+				if slices.Contains(restarts, i) {
+					budgets[n], started[n] = retrier.New(0), i
+					budgets[n].SetAllowance(limit.Allowance(servers))
+				}
+			}
 			for n, budget := range budgets {
-				budget.Refill(time.Duration(i) * step)
+				budget.Refill(time.Duration(i-started[n]) * step)
 				for range (n + i) % (busy + 1) {
 					budget.Deposit()
 					requests[i]++
@@ -86,17 +96,52 @@
 }
 
 func TestNestingEstimator(t *testing.T) {
-	const nested, external = 1, 2
+	const nested, external, parent, other = 1, 2, 3, 4
 	estimator := retrier.NewNestingEstimator()
+	retry := retrier.RunningRequest{Route: parent, Retry: true}
+	first := retrier.RunningRequest{Route: parent}
+	unrelated := retrier.RunningRequest{Route: other}
 	t.Run("IdleServerCallsNothing", func(t *testing.T) {
-		require.Zero(t, estimator.DerivedProbability(external, 0, 0))
+		require.Zero(t, estimator.DerivedProbability(external, nil))
 		require.False(t, estimator.MayBeNested(external, 3))
 	})
 	t.Run("RouteOfCallersIsNoCall", func(t *testing.T) {
-		require.Zero(t, estimator.DerivedProbability(external, 2, 2))
+		require.Zero(t, estimator.DerivedProbability(external, []retrier.RunningRequest{retry, retry}))
 	})
 	t.Run("OtherRoutesMayBe", func(t *testing.T) {
-		require.InDelta(t, 0.5, estimator.DerivedProbability(nested, 4, 2), 0)
+		running := []retrier.RunningRequest{retry, retry, unrelated, unrelated}
+		require.InDelta(t, 0.5, estimator.DerivedProbability(nested, running), 0)
 		require.True(t, estimator.MayBeNested(nested, 4))
 	})
+	t.Run("KnownParentsAlone", func(t *testing.T) {
+		require.InDelta(t, 1, estimator.DerivedProbability(nested, []retrier.RunningRequest{retry}), 0)
+		running := []retrier.RunningRequest{retry, unrelated, unrelated}
+		require.InDelta(t, 1, estimator.DerivedProbability(nested, running), 0,
+			"requests of routes that never make the call don't count")
+		running = []retrier.RunningRequest{retry, first, unrelated}
+		require.InDelta(t, 0.5, estimator.DerivedProbability(nested, running), 0)
+	})
+}
+
+// TestDerivedCallsAreCharged generates retries that make calls at another service,
+// beside requests that make none, and compares what the calls are charged with
+// their number.
+func TestDerivedCallsAreCharged(t *testing.T) {
+	const nested, parent, other = 1, 2, 3
+	const calls = 20000
+	estimator := retrier.NewNestingEstimator()
+	random := rand.New(rand.NewPCG(1, 2))
+	derived, charged := 0.0, 0.0
+	for range calls {
+		caller := retrier.RunningRequest{Route: parent, Retry: random.Float64() < 0.3}
+		running := []retrier.RunningRequest{caller}
+		for range random.IntN(3) {
+			running = append(running, retrier.RunningRequest{Route: other})
+		}
+		if caller.Retry {
+			derived++
+		}
+		charged += estimator.DerivedProbability(nested, running)
+	}
+	require.InEpsilon(t, derived, charged, 0.05)
 }
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -79,11 +79,11 @@
 	refilledAt atomic.Int64
 }
 
-// New returns a full budget with the given share, from 0 to 1, and DefaultBurst.
+// New returns an empty budget with the given share, from 0 to 1, and DefaultBurst.
+// It starts empty because the process may have used its share just before a restart.
 func New(share float64) *Budget {
 	budget := &Budget{}
 	budget.SetAllowance(Allowance{Share: share, Burst: DefaultBurst})
-	budget.tokens.Store(budget.burst.Load())
 	return budget
 }
 
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -127,13 +127,11 @@
 func (g *Guard) NestedCall(route uint64) (called bool, derived float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	retries := 0
+	running := make([]retrier.RunningRequest, 0, len(g.running))
 	for _, work := range g.running {
-		if work.head.Earlier > 0 {
-			retries++
-		}
+		running = append(running, retrier.RunningRequest{Route: work.head.Route, Retry: work.head.Earlier > 0})
 	}
-	derived = g.nesting.DerivedProbability(route, len(g.running), retries)
+	derived = g.nesting.DerivedProbability(route, running)
 	return g.nesting.MayBeNested(route, len(g.running)), derived
 }
 
