runner: Drive guard, evidence, ejectors and gossip by one timer

Each process woke up over 200 times a second for polling: the guard every 10 ms, reports and ejectors every 20 ms each, probes every 100 ms, gossip every 200 ms. One tick of 50 ms does all of it now, 20 wake-ups a second. What is checked there (hangs, overdue answers, lapsed announcements, rounds of a second) has bounds far above 50 ms.

--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -27,8 +27,9 @@
 )
 
 const (
-	// TickPeriod is the interval at which the caller must call Tick.
-	TickPeriod = 10 * time.Millisecond
+	// TickPeriod is the interval at which the caller must call Tick. It is short
+	// compared with the time in which a failing server must be detected.
+	TickPeriod = 50 * time.Millisecond
 	// announcementTTL is how long a backend server counts as present after its
 	// last announcement or successful response.
 	announcementTTL = 6 * time.Second
--- a/transport/runner/evidence.go
+++ b/transport/runner/evidence.go
@@ -101,7 +101,8 @@
 	return max(service.FloorSlots, uint32(math.Ceil(service.FloorShare*float64(announced))))
 }
 
-func (r *Runner) tickEjectors(context.Context) {
+// tickEjectors decides the rounds whose replies are overdue.
+func (r *Runner) tickEjectors() {
 	r.ejectorsMu.Lock()
 	due := map[string][]ejector.Action{}
 	for service, serviceEjector := range r.ejectors {
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -22,12 +22,8 @@
 )
 
 const (
-	// reportPeriod is the interval of checks whether a report to the ejector is due.
-	reportPeriod = 20 * time.Millisecond
-	// ejectorTickPeriod is the interval at which ejectors check for overdue replies.
-	ejectorTickPeriod = 20 * time.Millisecond
-	// probePeriod is the interval of checks for silent servers.
-	probePeriod = 100 * time.Millisecond
+	// ticksPerPing is how many ticks of the guard there are to one of the gossip.
+	ticksPerPing = int(gossiper.PingPeriod / guard.TickPeriod)
 	// snapshotCheckPeriod is the interval of checks whether a snapshot of the
 	// configuration is due.
 	snapshotCheckPeriod = time.Second
@@ -66,11 +62,7 @@
 
 func (r *Runner) startLoops(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return r.refreshServiceTable(ctx) })
-	group.Go(func() error { return every(ctx, gossiper.PingPeriod, func() { r.gossipOnce(ctx) }) })
-	group.Go(func() error { return every(ctx, guard.TickPeriod, r.tickGuard) })
-	group.Go(func() error { return every(ctx, reportPeriod, func() { r.sendDueReport(ctx) }) })
-	group.Go(func() error { return every(ctx, ejectorTickPeriod, func() { r.tickEjectors(ctx) }) })
-	group.Go(func() error { return every(ctx, probePeriod, func() { r.probeSilentServers(ctx) }) })
+	group.Go(func() error { return r.tick(ctx) })
 	if r.deps.Source != nil {
 		group.Go(func() error { return r.followSource(ctx) })
 		group.Go(func() error { return r.registerAtSource(ctx) })
@@ -83,9 +75,19 @@
 	group.Go(func() error { return r.registerOnLog(ctx) })
 }
 
-func (r *Runner) tickGuard() {
-	roster := r.roster.Load()
-	r.guard.Tick(roster.HealthySlots)
+// tick drives everything that depends on time but the configuration. One timer for
+// all of it keeps an idle process from waking up often.
+func (r *Runner) tick(ctx context.Context) error {
+	ticks := 0
+	return every(ctx, guard.TickPeriod, func() {
+		r.guard.Tick(r.roster.Load().HealthySlots)
+		r.sendDueReport(ctx)
+		r.tickEjectors()
+		if ticks++; ticks%ticksPerPing == 0 {
+			r.gossipOnce(ctx)
+			r.probeSilentServers(ctx)
+		}
+	})
 }
 
 // refreshServiceTable updates the router's service table and the retry budget
