warner: Tell routers of failing servers by gossip

Cause: only its guard knew that a breaker was open. A failing server also has free slots and looks the least loaded, so routers preferred it. Guards now pass on how long to avoid their server, all requests or those that must not run twice, with each gossip message and each refusal. Warnings expire by themselves, copies only shorten them, and a recovery replaces them.

--- a/coordination/breaker/breaker.go
+++ b/coordination/breaker/breaker.go
@@ -114,6 +114,24 @@
 	}
 }
 
+// Avoidance returns how long requests should avoid the server: all requests, and those
+// that must not run twice. The second time is at least the first.
+func (b *Breaker) Avoidance(now clocker.Instant) (avoid, avoidNonIdempotent time.Duration) {
+	switch b.State(now) {
+	case Open:
+		avoid = b.openUntil.Mono - now.Mono
+		return avoid, avoid + renewalTime
+	case HalfOpen:
+		return 0, min(max(0, idempotentTrialTime-now.Since(b.halfOpenSince)), renewalTime)
+	default:
+		return 0, 0
+	}
+}
+
+// renewalTime is how long non-idempotent requests avoid a server in the state HalfOpen
+// if the state is not reported again.
+const renewalTime = time.Second
+
 // allowTrial reports whether a request may pass as a trial, and counts it if so.
 func (b *Breaker) allowTrial(now clocker.Instant, idempotent bool) bool {
 	if b.trials > 0 && now.Since(b.trialSince) >= trialTimeout {
--- a/coordination/breaker/breaker_test.go
+++ b/coordination/breaker/breaker_test.go
@@ -29,6 +29,13 @@
 	require.Equal(t, want.String(), b.State(at(now)).String())
 }
 
+func requireAvoidance(t *testing.T, b *breaker.Breaker, now, wantAll, wantNonIdempotent time.Duration) {
+	t.Helper()
+	all, nonIdempotent := b.Avoidance(at(now))
+	require.Equal(t, wantAll, all)
+	require.Equal(t, wantNonIdempotent, nonIdempotent)
+}
+
 func TestBreaker(t *testing.T) {
 	t.Run("OpensAtOneFailure", func(t *testing.T) {
 		b := opened(t)
@@ -43,6 +50,17 @@
 		require.False(t, b.Allow(at(pause), false, false))
 		require.True(t, b.Allow(at(pause), true, false))
 	})
+	t.Run("AvoidanceLastsUntilItCloses", func(t *testing.T) {
+		requireAvoidance(t, breaker.New(pause), 0, 0, 0)
+		b := opened(t)
+		requireAvoidance(t, b, 0, pause, pause+time.Second)
+		requireAvoidance(t, b, pause, 0, time.Second)
+		requireAvoidance(t, b, pause+3500*time.Millisecond, 0, 500*time.Millisecond)
+		requireAvoidance(t, b, pause+4*time.Second, 0, 0)
+		b.RecordSuccess(at(pause))
+		b.RecordSuccess(at(pause))
+		requireAvoidance(t, b, pause, 0, 0)
+	})
 	t.Run("FewTrialsAtATime", func(t *testing.T) {
 		b := opened(t)
 		require.True(t, b.Allow(at(pause), true, false))
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/warner"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 )
 
@@ -71,8 +72,14 @@
 	lastFarFull   clocker.Instant
 	nextSeed      int
 	configVersion uint64
-	// selfChanged is set until the next tick after a change of the own entry.
+	// selfChanged is set until the next tick after a change of the own entry, or
+	// after a new warning about the own server.
 	selfChanged bool
+	warner      *warner.Warner
+	// warned is the duration of the last warning about the own server.
+	warned time.Duration
+	// adopted holds the warnings received since the last call of TakeWarnings.
+	adopted []warner.Warning
 	// pingsDrawn counts the regular pings.
 	pingsDrawn int
 	// hasNearPeers is set while the own zone has at least minNearPeers others.
@@ -93,6 +100,7 @@
 		pendingFar:  map[uint64]broadcast{},
 		downSince:   map[uint64]clocker.Instant{},
 		lastAcked:   map[uint64]clocker.Instant{},
+		warner:      warner.New(self.Incarnation),
 	}
 	g.spread(self)
 	return g
@@ -127,6 +135,23 @@
 	g.selfChanged = true
 }
 
+// SetWarning sets how long requests should avoid the own server. The durations are 0
+// if there is no reason to. A new warning is sent without delay.
+func (g *Gossiper) SetWarning(now clocker.Instant, avoid, avoidNonIdempotent time.Duration) {
+	if avoid > 0 && g.warned <= 0 {
+		g.selfChanged = true
+	}
+	g.warned = avoid
+	g.warner.SetOwn(now, avoid, avoidNonIdempotent)
+}
+
+// TakeWarnings returns the warnings received since the last call.
+func (g *Gossiper) TakeWarnings() []warner.Warning {
+	taken := g.adopted
+	g.adopted = nil
+	return taken
+}
+
 // Tick returns the pings that are due. It is called every PingPeriod.
 func (g *Gossiper) Tick(now clocker.Instant) []Ping {
 	g.expireMembers(now)
@@ -138,22 +163,26 @@
 	}
 	for range count {
 		if target, ok := g.nextTarget(); ok {
-			pings = append(pings, g.ping(target))
+			pings = append(pings, g.ping(now, target))
 		}
 	}
 	if seed, ok := g.unknownSeed(); ok {
-		pings = append(pings, Ping{Address: seed, Message: g.message(registrar.Member{}, true)})
+		pings = append(pings, Ping{Address: seed, Message: g.message(now, registrar.Member{}, true)})
 	}
 	return pings
 }
 
 // PingTo returns a ping to a member outside the regular order.
-func (g *Gossiper) PingTo(member registrar.Member) Ping {
-	return g.ping(member)
+func (g *Gossiper) PingTo(now clocker.Instant, member registrar.Member) Ping {
+	return g.ping(now, member)
+}
+
+func (g *Gossiper) ping(now clocker.Instant, target registrar.Member) Ping {
+	return pingWith(target, g.message(now, target, false))
 }
 
-func (g *Gossiper) ping(target registrar.Member) Ping {
-	return Ping{Address: target.Address, Incarnation: target.Incarnation, Message: g.message(target, false)}
+func pingWith(target registrar.Member, message Message) Ping {
+	return Ping{Address: target.Address, Incarnation: target.Incarnation, Message: message}
 }
 
 // expireMembers marks members that have been unreachable for goneTimeout as gone
@@ -274,7 +303,7 @@
 // Receive handles a message and returns the reply.
 func (g *Gossiper) Receive(now clocker.Instant, message Message) Message {
 	g.merge(now, message)
-	reply := g.message(message.Sender, g.needsFull(now, message))
+	reply := g.message(now, message.Sender, g.needsFull(now, message))
 	if message.WantFull {
 		return g.withDifference(reply, message)
 	}
@@ -287,11 +316,10 @@
 	g.lastAcked[reply.Sender.Incarnation] = now
 	g.merge(now, reply)
 	if reply.WantFull {
-		message := g.withDifference(g.message(reply.Sender, false), reply)
-		return []Ping{{Address: reply.Sender.Address, Incarnation: reply.Sender.Incarnation, Message: message}}
+		return []Ping{pingWith(reply.Sender, g.withDifference(g.message(now, reply.Sender, false), reply))}
 	}
 	if g.needsFull(now, reply) {
-		return []Ping{{Address: reply.Sender.Address, Incarnation: reply.Sender.Incarnation, Message: g.message(reply.Sender, true)}}
+		return []Ping{pingWith(reply.Sender, g.message(now, reply.Sender, true))}
 	}
 	return nil
 }
@@ -343,6 +371,7 @@
 	for _, change := range message.Changes {
 		g.apply(now, change)
 	}
+	g.adopted = append(g.adopted, g.warner.Merge(now, message.Warnings)...)
 }
 
 // apply adopts an entry if it is newer than the known one. An entry about this
--- a/coordination/gossiper/gossiper_test.go
+++ b/coordination/gossiper/gossiper_test.go
@@ -94,7 +94,7 @@
 		if c.down[via] || c.cut[[2]int{from, via}] || c.cut[[2]int{via, from}] {
 			continue
 		}
-		if reply, ok := c.exchange(via, to, c.members[via].PingTo(relay.Target).Message); ok {
+		if reply, ok := c.exchange(via, to, c.members[via].PingTo(c.instant(), relay.Target).Message); ok {
 			c.members[via].Acked(c.instant(), reply)
 			return
 		}
--- a/coordination/gossiper/message.go
+++ b/coordination/gossiper/message.go
@@ -1,6 +1,9 @@
 package gossiper
 
-import "github.com/foxtailhall/foxtailhall/state/registrar"
+import (
+	"github.com/foxtailhall/foxtailhall/coordination/warner"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+)
 
 // Message is a gossip message, sent as a ping or as the reply to one.
 type Message struct {
@@ -15,6 +18,8 @@
 	// WantFull asks for all entries whose fingerprints are not in Known.
 	WantFull bool
 	Known    []uint64
+	// Warnings are about failing servers.
+	Warnings []warner.Warning
 }
 
 // Ping is a message to send. Its reply is passed to Acked, and a missing reply to Failed.
--- a/coordination/gossiper/spread.go
+++ b/coordination/gossiper/spread.go
@@ -14,13 +14,14 @@
 }
 
 // message returns a message to a member. The zero Member stands for an unknown receiver.
-func (g *Gossiper) message(to registrar.Member, wantFull bool) Message {
+func (g *Gossiper) message(now clocker.Instant, to registrar.Member, wantFull bool) Message {
 	message := Message{
 		Sender:        g.self,
 		Changes:       g.takeChanges(to.Zone),
 		Digest:        g.roster.Digest(),
 		ConfigVersion: g.configVersion,
 		WantFull:      wantFull,
+		Warnings:      g.warner.Current(now, g.warningsFor(to.Zone)),
 	}
 	if wantFull {
 		message.Known = g.roster.Fingerprints()
@@ -28,6 +29,18 @@
 	return message
 }
 
+// warningsFor returns which warnings are sent to a zone: within the own zone all, to
+// other zones those about servers of the own zone.
+func (g *Gossiper) warningsFor(zone string) func(incarnation uint64) bool {
+	return func(incarnation uint64) bool {
+		if zone == g.self.Zone {
+			return true
+		}
+		member, ok := g.roster.Member(incarnation)
+		return ok && zone != "" && member.Zone == g.self.Zone
+	}
+}
+
 // withDifference turns a message into the answer to a request for a full view:
 // it holds all entries that the requester lacks.
 func (g *Gossiper) withDifference(message, request Message) Message {
--- a/coordination/picker/picker.go
+++ b/coordination/picker/picker.go
@@ -70,7 +70,7 @@
 	// SameZoneOnly excludes the servers of other availability zones.
 	SameZoneOnly bool
 	// SkipAvoided excludes the servers that are avoided for now, because their path
-	// fails or because they refused requests.
+	// fails, because they refused requests, or because of a warning.
 	SkipAvoided bool
 	// Tried holds the incarnations to exclude in its first TriedCount elements.
 	Tried      [MaxTried]uint64
@@ -164,7 +164,7 @@
 		c.trial.add(i, &c.random)
 		return
 	}
-	if entry.Server.Avoided(query.Now) {
+	if entry.Server.Avoided(query.Now) || entry.Server.Warned(query.Now, query.Idempotent) {
 		if !query.SkipAvoided {
 			c.avoided.add(i, &c.random)
 		}
--- a/coordination/picker/picker_test.go
+++ b/coordination/picker/picker_test.go
@@ -127,3 +127,29 @@
 		})
 	}
 }
+
+func TestWarnings(t *testing.T) {
+	const at = time.Minute
+	// Servers 1, 4 and 7 are in the zone of the query.
+	warned := pool(9)
+	warned.Entries[3].Server.RecordWarning(at, time.Second, 2*time.Second)
+	chosen := func(now time.Duration, idempotent bool) map[uint64]int {
+		return requireChoices(t, warned, picker.ReasonZone, func(q picker.Query) picker.Query {
+			q.Now, q.Idempotent = now, idempotent
+			return q.WithTried(1)
+		})
+	}
+	t.Run("AllRequestsAvoidTheServer", func(t *testing.T) {
+		require.Zero(t, chosen(at, true)[4])
+		require.Zero(t, chosen(at, false)[4])
+	})
+	t.Run("NonIdempotentOnesAvoidItForLonger", func(t *testing.T) {
+		now := at + 1500*time.Millisecond
+		require.Positive(t, chosen(now, true)[4])
+		require.Zero(t, chosen(now, false)[4])
+	})
+	t.Run("RecoveryEndsIt", func(t *testing.T) {
+		warned.Entries[3].Server.RecordWarning(at, 0, 0)
+		require.Positive(t, chosen(at, false)[4])
+	})
+}
--- a/coordination/retrier/fleet_test.go
+++ b/coordination/retrier/fleet_test.go
@@ -134,10 +134,8 @@
 	derived, charged := 0.0, 0.0
 	for range calls {
 		caller := retrier.RunningRequest{Route: parent, Retry: random.Float64() < 0.3}
-		running := []retrier.RunningRequest{caller}
-		for range random.IntN(3) {
-			running = append(running, retrier.RunningRequest{Route: other})
-		}
+		running := slices.Repeat([]retrier.RunningRequest{{Route: other}}, random.IntN(3))
+		running = append(running, caller)
 		if caller.Retry {
 			derived++
 		}
--- a/state/tracker/tracker.go
+++ b/state/tracker/tracker.go
@@ -47,6 +47,10 @@
 	failures   atomic.Int64
 	// avoidUntil is a monotonic time; 0 means that the server is not avoided.
 	avoidUntil atomic.Int64
+	// warnedUntil and warnedNonIdempotentUntil are the monotonic times until which a
+	// warning lasts for all requests and for those that must not run twice.
+	warnedUntil              atomic.Int64
+	warnedNonIdempotentUntil atomic.Int64
 	// silentSince is the monotonic time since which requests are in flight without
 	// any response from the guard; 0 if there are none.
 	silentSince atomic.Int64
@@ -175,6 +179,22 @@
 	return until != 0 && int64(now) < until
 }
 
+// RecordWarning records, at a monotonic time, how long all requests and those that
+// must not run twice should avoid the server. It replaces the last warning.
+func (s *Server) RecordWarning(now, avoid, avoidNonIdempotent time.Duration) {
+	s.warnedUntil.Store(int64(now + avoid))
+	s.warnedNonIdempotentUntil.Store(int64(now + avoidNonIdempotent))
+}
+
+// Warned reports whether a warning tells a request to avoid the server at a monotonic time.
+func (s *Server) Warned(now time.Duration, idempotent bool) bool {
+	until := s.warnedUntil.Load()
+	if !idempotent {
+		until = s.warnedNonIdempotentUntil.Load()
+	}
+	return int64(now) < until
+}
+
 // WarmupFactor returns the share of its slots that a server gets while it warms
 // up. It rises to 1 over the cold start.
 func (s *Server) WarmupFactor(now time.Duration) float64 {
--- a/transport/converter/converter.go
+++ b/transport/converter/converter.go
@@ -3,10 +3,12 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/locker"
+	"github.com/foxtailhall/foxtailhall/coordination/warner"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 )
@@ -62,6 +64,7 @@
 		Full:          message.Full,
 		WantFull:      message.WantFull,
 		Known:         message.Known,
+		Warnings:      warningsToProto(message.Warnings),
 	}
 }
 
@@ -79,9 +82,36 @@
 		Full:          message.GetFull(),
 		WantFull:      message.GetWantFull(),
 		Known:         message.GetKnown(),
+		Warnings:      warningsFromProto(message.GetWarnings()),
 	}
 }
 
+func warningsToProto(warnings []warner.Warning) []*messenger.Warning {
+	converted := make([]*messenger.Warning, 0, len(warnings))
+	for _, warning := range warnings {
+		converted = append(converted, &messenger.Warning{
+			Incarnation:          warning.Incarnation,
+			Sequence:             warning.Sequence,
+			AvoidMs:              uint32(warning.Avoid.Milliseconds()),
+			AvoidNonIdempotentMs: uint32(warning.AvoidNonIdempotent.Milliseconds()),
+		})
+	}
+	return converted
+}
+
+func warningsFromProto(messages []*messenger.Warning) []warner.Warning {
+	warnings := make([]warner.Warning, 0, len(messages))
+	for _, message := range messages {
+		warnings = append(warnings, warner.Warning{
+			Incarnation:        message.GetIncarnation(),
+			Sequence:           message.GetSequence(),
+			Avoid:              time.Duration(message.GetAvoidMs()) * time.Millisecond,
+			AvoidNonIdempotent: time.Duration(message.GetAvoidNonIdempotentMs()) * time.Millisecond,
+		})
+	}
+	return warnings
+}
+
 // TermToProto converts an ejector's term.
 func TermToProto(term locker.Term) *messenger.Term {
 	return &messenger.Term{Counter: term.Counter, Owner: term.Owner}
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -115,6 +115,7 @@
 		outcome = g.fence(head)
 	}
 	inFlight, waiting := g.Load()
+	avoid, avoidNonIdempotent := g.Avoidance()
 	return send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: &messenger.Verdict{
 		Outcome:  uint32(outcome),
 		Reason:   refused.reason,
@@ -125,6 +126,9 @@
 		Busy:     refused.reason == reasonBusy || refused.reason == reasonQueueTimeout,
 		Load:     uint32(max(0, inFlight+waiting)),
 		Arrived:  refused.fromServer,
+
+		AvoidMs:              uint32(avoid.Milliseconds()),
+		AvoidNonIdempotentMs: uint32(avoidNonIdempotent.Milliseconds()),
 	}}})
 }
 
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -143,6 +143,14 @@
 	return g.controller.MemberStatus()
 }
 
+// Avoidance returns how long requests should avoid the server: all requests, and those
+// that must not run twice.
+func (g *Guard) Avoidance() (avoid, avoidNonIdempotent time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.breaker.Avoidance(g.deps.Now())
+}
+
 // logTransitions logs the state transitions since the last call and reports
 // whether there were any. The caller holds the lock.
 func (g *Guard) logTransitions(reason string) bool {
--- a/transport/router/record.go
+++ b/transport/router/record.go
@@ -55,9 +55,13 @@
 	}
 	server.RecordContact(now)
 	verdict := outcome.verdict
+	if verdict != nil {
+		server.RecordWarning(now, time.Duration(verdict.AvoidMs)*time.Millisecond,
+			time.Duration(verdict.AvoidNonIdempotentMs)*time.Millisecond)
+	}
 	switch {
 	case verdict == nil:
-	case verdict.Leaving || verdict.Ejected || verdict.Doubtful:
+	case verdict.Leaving || verdict.Ejected:
 		server.RecordRefusal(now)
 	case verdict.Load > 0:
 		server.RecordLoad(now, int64(verdict.Load))
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/coordination/warner"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
@@ -71,10 +72,16 @@
 
 func (r *Runner) gossipOnce(ctx context.Context) {
 	r.gossipMu.Lock()
+	now := r.now()
 	r.gossip.SetConfigVersion(r.catalog().Version())
-	pings := r.gossip.Tick(r.now())
+	avoid, avoidNonIdempotent := r.guard.Avoidance()
+	r.gossip.SetWarning(now, avoid, avoidNonIdempotent)
+	pings := r.gossip.Tick(now)
 	r.publishRoster()
 	r.gossipMu.Unlock()
+	if server := r.trackedServer(r.incarnation); server != nil {
+		server.RecordWarning(now.Mono, avoid, avoidNonIdempotent)
+	}
 	for _, ping := range pings {
 		go r.ping(ctx, ping)
 	}
@@ -109,8 +116,10 @@
 func (r *Runner) handleAck(ctx context.Context, ping gossiper.Ping, reply gossiper.Message) {
 	r.gossipMu.Lock()
 	more := r.gossip.Acked(r.now(), reply)
+	warnings := r.gossip.TakeWarnings()
 	r.publishRoster()
 	r.gossipMu.Unlock()
+	r.recordWarnings(warnings)
 	r.recordContact(ping.Incarnation)
 	r.fetchIfNewer(ctx, ping.Address, reply.ConfigVersion)
 	for _, next := range more {
@@ -139,6 +148,15 @@
 	}
 }
 
+// recordWarnings passes warnings on to the router.
+func (r *Runner) recordWarnings(warnings []warner.Warning) {
+	for _, warning := range warnings {
+		if server := r.trackedServer(warning.Incarnation); server != nil {
+			server.RecordWarning(r.now().Mono, warning.Avoid, warning.AvoidNonIdempotent)
+		}
+	}
+}
+
 // trackedServer returns the router's record of a member, or nil if it serves nothing.
 func (r *Runner) trackedServer(incarnation uint64) *tracker.Server {
 	member, ok := r.roster.Load().Member(incarnation)
@@ -215,7 +233,7 @@
 func (r *Runner) pingTo(member registrar.Member) gossiper.Ping {
 	r.gossipMu.Lock()
 	defer r.gossipMu.Unlock()
-	return r.gossip.PingTo(member)
+	return r.gossip.PingTo(r.now(), member)
 }
 
 // memberRecord is one record of the members stream.
--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -89,8 +89,10 @@
 	r := s.runner
 	r.gossipMu.Lock()
 	reply := r.gossip.Receive(r.now(), received)
+	warnings := r.gossip.TakeWarnings()
 	r.publishRoster()
 	r.gossipMu.Unlock()
+	r.recordWarnings(warnings)
 	if received.ConfigVersion > r.catalog().Version() {
 		go r.fetchIfNewer(context.WithoutCancel(ctx), received.Sender.Address, received.ConfigVersion)
 	}
