forwarder, guard: Bound what is read of an answer that is none

Interim answers are skipped now, eight at most; at most 1 MiB of another's body is; a refusal is passed on at once and 64 KiB or 50 ms are spent on its body. Endless heads, chunk sizes and trailers ended by themselves before and still do.

--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -8,13 +8,20 @@
 
 	"github.com/cloudwego/hertz/pkg/common/bytebufferpool"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 )
 
-// maxMismatched bounds the answers to other requests that are skipped.
-const maxMismatched = 3
+const (
+	// maxMismatched bounds the answers to other requests that are skipped, and
+	// maxSkippedBytes the body of each.
+	maxMismatched   = 3
+	maxSkippedBytes = 1 << 20
+	// maxInterim bounds the interim answers, such as 100 Continue, before the final one.
+	maxInterim = 8
+)
 
 // Values of a body length that is not known in advance.
 const (
@@ -82,8 +89,8 @@
 // readHead reads the head of the answer to the request and skips answers to others.
 func (e *Exchange) readHead(headOnly bool) error {
 	for range maxMismatched {
-		if err := resp.ReadHeaders(e.Response, e.conn.reader); err != nil {
-			return fmt.Errorf("reading the answer's head: %w", err)
+		if err := e.readFinalHead(); err != nil {
+			return err
 		}
 		mismatched, idleTimeout := e.inspect(&e.Response.Header)
 		e.idleTimeout = idleTimeout
@@ -94,8 +101,8 @@
 		if e.length == lengthUntilClose {
 			break
 		}
-		if _, err := io.Copy(io.Discard, e); err != nil {
-			return fmt.Errorf("skipping an answer to another request: %w", err)
+		if _, err := io.CopyN(io.Discard, e, maxSkippedBytes); !errors.Is(err, io.EOF) {
+			return fmt.Errorf("skipping an answer to another request: %w", errors.Join(ErrMismatchedAnswer, err))
 		}
 		e.Response.Reset()
 		e.complete = false
@@ -103,6 +110,20 @@
 	return ErrMismatchedAnswer
 }
 
+// readFinalHead reads the next head of a final answer and skips interim ones.
+func (e *Exchange) readFinalHead() error {
+	for range maxInterim {
+		if err := resp.ReadHeaders(e.Response, e.conn.reader); err != nil {
+			return fmt.Errorf("reading the answer's head: %w", err)
+		}
+		if e.Response.StatusCode() >= consts.StatusOK {
+			return nil
+		}
+		e.Response.Reset()
+	}
+	return ErrTooManyInterim
+}
+
 func (e *Exchange) openBody(headOnly bool) {
 	if headOnly || e.Response.MustSkipBody() {
 		e.complete = true
@@ -153,6 +174,26 @@
 	return n, nil
 }
 
+// Drain reads the rest of the body so that the connection can be reused, unless that
+// takes more than drainTimeout or drainBytes. It must not be called after a read failed.
+func (e *Exchange) Drain() {
+	if err := e.conn.raw.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, e, drainBytes); !errors.Is(err, io.EOF) {
+		e.complete = false
+		return
+	}
+	if err := e.conn.raw.SetReadDeadline(time.Time{}); err != nil {
+		e.complete = false
+	}
+}
+
+const (
+	drainTimeout = 50 * time.Millisecond
+	drainBytes   = 64 << 10
+)
+
 // Close ends the exchange. The connection is reused only if the request was written and
 // the answer read completely, and the server accepts another request on it.
 func (e *Exchange) Close() {
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	// ErrMismatchedAnswer means that the server answered other requests instead of the
 	// one that was sent.
 	ErrMismatchedAnswer = eris.New("answer belongs to another request")
+	// ErrTooManyInterim means that the server sent one interim answer after the other.
+	ErrTooManyInterim = eris.New("too many interim answers")
 )
 
 // Forwarder keeps idle connections to one backend server. It is safe for concurrent use.
--- a/transport/guard/failure.go
+++ b/transport/guard/failure.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/breaker"
@@ -31,10 +30,9 @@
 	g.controller.Detector().Finish(now, work.id, true, true, work.origin)
 	g.recordFailure(now, work, reason)
 	g.mu.Unlock()
-	if _, err := io.Copy(io.Discard, exchange); err != nil {
-		g.deps.Log.Debug("RefusalNotRead", "Error", err)
-	}
-	return g.refuse(stream, work.head, refusal{outcome: answerer.OutcomeNotRun, reason: reason, fromServer: true})
+	err := g.refuse(stream, work.head, refusal{outcome: answerer.OutcomeNotRun, reason: reason, fromServer: true})
+	exchange.Drain()
+	return err
 }
 
 // promptShare is the share of a route's typical service time within which an
