platform, enroller: Survive odd entries of other writers, and list peers with one call

One announcement with a start in the far future or a sequence near 2^64 made all later ones of the real server stale.

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -72,7 +72,7 @@
 // WithAnnouncement returns the enroller after one announcement or leave notice,
 // and the verdict on it.
 func (e Enroller) WithAnnouncement(next Announcement) (Enroller, Verdict) {
-	if next.Address != "" && next.Address != e.address {
+	if next.Address != "" && next.Address != e.address || implausible(next) {
 		return e, VerdictForeign
 	}
 	if e.stale(next) {
@@ -85,6 +85,20 @@
 	return e, VerdictAnnounced
 }
 
+const (
+	// maxClockSkew is how far the start of a run may lie ahead of the own clock.
+	maxClockSkew = time.Hour
+	// maxSequence is beyond what a run can reach. Above it, writers lose precision.
+	maxSequence = 1 << 53
+)
+
+// implausible reports whether an announcement has a start time or sequence that would
+// make all later announcements of the real server stale.
+func implausible(next Announcement) bool {
+	return next.StartedMs < 0 || next.StartedMs > next.ReceivedAt.UnixMilli()+maxClockSkew.Milliseconds() ||
+		next.Sequence > maxSequence
+}
+
 func (e Enroller) stale(next Announcement) bool {
 	known := e.latest
 	leaveNotice := next.Address == ""
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -56,6 +56,12 @@
 		foreign   = enroller.VerdictForeign
 		stale     = enroller.VerdictStale
 	)
+	t.Run("ImplausibleOnesAreForeign", func(t *testing.T) {
+		const hour = 3_600_000
+		requireVerdicts(t, []enroller.Announcement{
+			ready("a", 0, 1), ready("x", 2*hour, 1), ready("x", -2*epoch, 1), ready("a", 0, 1<<60), ready("a", 0, 2),
+		}, announced, foreign, foreign, foreign, announced)
+	})
 	t.Run("RenewalRisesInSequence", func(t *testing.T) {
 		requireVerdicts(t, []enroller.Announcement{ready("a", 0, 1), ready("a", 0, 2), ready("a", 0, 2)}, announced, announced, stale)
 	})
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -18,8 +18,8 @@
 	// Register publishes the address of the process to others, Deregister removes it.
 	Register   func(ctx context.Context, address string) error
 	Deregister func(ctx context.Context, address string) error
-	// Peers returns the registered addresses.
-	Peers func(ctx context.Context) ([]string, error)
+	// Peers returns some registered addresses of other processes than the own.
+	Peers func(ctx context.Context, own string) ([]string, error)
 }
 
 const (
@@ -116,7 +116,7 @@
 // addSourcePeers adds the registered addresses as gossip seeds and reports whether
 // they could be read.
 func (r *Runner) addSourcePeers(ctx context.Context) bool {
-	peers, err := r.deps.Source.Peers(ctx)
+	peers, err := r.deps.Source.Peers(ctx, r.deps.Settings.PeerAddress)
 	r.logStoreResult("PeersListed", err)
 	if err != nil {
 		return false
