searcher, admitter: Decide where requests go and what a guard takes without I/O

Moved out of transport/router and transport/guard unchanged, so that loads can be played on the decisions alone.

--- /dev/null
+++ b/coordination/admitter/admitter.go
@@ -0,0 +1,101 @@
+// Package admitter decides which attempts a guard gives to its backend server, which
+// wait for a slot and which are refused.
+package admitter
+
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/breaker"
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/limiter"
+	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+)
+
+// Reason is why an attempt is refused, "" if it is not.
+type Reason string
+
+// Reasons of refusals by an Admitter. Those of the limiter are its decisions' names.
+const (
+	// ReasonBusy means that no slot is free and the router does not insist.
+	ReasonBusy Reason = "Busy"
+	// ReasonDoubtful means that the breaker is open.
+	ReasonDoubtful Reason = "Doubtful"
+	// ReasonNoBudget means that the retry budget is used up.
+	ReasonNoBudget Reason = "NoBudget"
+)
+
+// Attempt is what the decision needs to know of an attempt.
+type Attempt struct {
+	ID       uint64
+	Deadline clocker.Instant
+	// Rank is the urgency; 0 is the most urgent.
+	Rank uint32
+	// MaxWait is how long the attempt may wait for a slot, 0 for as long as its
+	// deadline allows.
+	MaxWait    time.Duration
+	Idempotent bool
+	// Insist is set if the attempt rather waits than is refused for lack of a free slot.
+	Insist bool
+	// Retry is set if an earlier attempt of the request may have run.
+	Retry bool
+	// DerivedProbability is the probability that a retry made this request, from 0 to 1.
+	DerivedProbability float64
+}
+
+// Admitter combines the limits of one backend server. It is not safe for concurrent use.
+type Admitter struct {
+	Limiter *limiter.Limiter
+	Breaker *breaker.Breaker
+	// Budget bounds the retries that reach the backend server.
+	Budget *retrier.Budget
+}
+
+// New returns an admitter without slots, whose breaker never opens and whose budget is empty.
+func New() *Admitter {
+	return &Admitter{Limiter: limiter.New(0, 0), Breaker: breaker.New(0), Budget: retrier.New(0)}
+}
+
+// Admit starts or queues an attempt, or returns why it is refused.
+func (a *Admitter) Admit(now clocker.Instant, attempt Attempt) (limiter.Decision, Reason) {
+	if !attempt.Insist && !a.Limiter.HasFreeSlot() {
+		return 0, ReasonBusy
+	}
+	if !a.Breaker.Allow(now, attempt.Idempotent, attempt.Insist) {
+		return 0, ReasonDoubtful
+	}
+	if !a.takeRetryBudget(now, attempt) {
+		return 0, ReasonNoBudget
+	}
+	decision := a.Limiter.AdmitRanked(now, limiter.Request{
+		ID: attempt.ID, Deadline: attempt.Deadline, Rank: attempt.Rank, MaxWait: attempt.MaxWait,
+	})
+	if decision == limiter.Started || decision == limiter.Queued {
+		return decision, ""
+	}
+	a.ReturnRetryBudget(attempt)
+	return 0, Reason(decision.String())
+}
+
+// takeRetryBudget credits the budget for a first attempt, or takes a token for a
+// retry of a request that may already have reached a server. It reports whether
+// the attempt may run.
+func (a *Admitter) takeRetryBudget(now clocker.Instant, attempt Attempt) bool {
+	a.Budget.Refill(now.Mono)
+	if attempt.Retry {
+		return a.Budget.Take()
+	}
+	a.Budget.Deposit()
+	a.Budget.Charge(attempt.DerivedProbability)
+	return true
+}
+
+// ReturnRetryBudget reverts what an attempt took from the budget or added to it. It is
+// called for an admitted attempt that is not sent to the server.
+func (a *Admitter) ReturnRetryBudget(attempt Attempt) {
+	if attempt.Retry {
+		a.Budget.Refund()
+		return
+	}
+	a.Budget.RevertDeposit()
+	a.Budget.Charge(-attempt.DerivedProbability)
+}
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/foxtailhall/foxtailhall/coordination/admitter"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
@@ -15,15 +16,12 @@
 
 // Reasons for refusals. Routers act on the flags that refuse derives from them.
 const (
-	// reasonBusy means that no slot is free and the router does not insist.
-	reasonBusy = "Busy"
-	// reasonDoubtful means that the breaker is open.
-	reasonDoubtful = "Doubtful"
+	reasonBusy     = string(admitter.ReasonBusy)
+	reasonDoubtful = string(admitter.ReasonDoubtful)
+	reasonNoBudget = string(admitter.ReasonNoBudget)
 	// reasonLeaving means that the server is shutting down, gone or not announced.
 	reasonLeaving = "Leaving"
 	reasonEjected = "Ejected"
-	// reasonNoBudget means that the retry budget is used up.
-	reasonNoBudget = "NoBudget"
 	// reasonQueueTimeout means that no slot became free in time.
 	reasonQueueTimeout = "QueueTimeout"
 	// reasonErrorAnswer means that the server responded with an error status.
@@ -94,48 +92,17 @@
 	if reason := g.unavailableReason(); reason != "" {
 		return 0, reason
 	}
-	if !work.head.Insist && !g.limiter.HasFreeSlot() {
-		return 0, reasonBusy
-	}
-	if !g.breaker.Allow(now, work.head.Idempotent, work.head.Insist) {
-		return 0, reasonDoubtful
-	}
-	if !g.takeRetryBudget(now, work) {
-		return 0, reasonNoBudget
-	}
-	decision := g.limiter.AdmitRanked(now, limiter.Request{
-		ID: work.id, Deadline: work.deadline, Rank: work.head.Rank,
-		MaxWait: time.Duration(work.head.HoldUs) * time.Microsecond,
-	})
-	if decision == limiter.Started || decision == limiter.Queued {
-		return decision, ""
-	}
-	g.returnRetryBudget(work)
-	return 0, decision.String()
+	decision, reason := g.admitter.Admit(now, work.admission())
+	return decision, string(reason)
 }
 
-// takeRetryBudget credits the budget for a first attempt, or takes a token for a
-// retry of a request that may already have reached a server. It reports whether
-// the attempt may run.
-func (g *Guard) takeRetryBudget(now clocker.Instant, work *task) bool {
-	g.budget.Refill(now.Mono)
-	if work.head.Earlier == 0 {
-		g.budget.Deposit()
-		g.budget.Charge(float64(work.head.Derived))
-		return true
-	}
-	return g.budget.Take()
-}
-
-// returnRetryBudget reverts takeRetryBudget for an attempt that was not sent to
-// the server.
-func (g *Guard) returnRetryBudget(work *task) {
-	if work.head.Earlier > 0 {
-		g.budget.Refund()
-		return
+// admission returns what the admission of the attempt depends on.
+func (w *task) admission() admitter.Attempt {
+	return admitter.Attempt{
+		ID: w.id, Deadline: w.deadline, Rank: w.head.Rank, MaxWait: time.Duration(w.head.HoldUs) * time.Microsecond,
+		Idempotent: w.head.Idempotent, Insist: w.head.Insist, Retry: w.head.Earlier > 0,
+		DerivedProbability: float64(w.head.Derived),
 	}
-	g.budget.RevertDeposit()
-	g.budget.Charge(-float64(work.head.Derived))
 }
 
 // checkDuplicate asks the deduplicator whether the attempt may run. It returns nil
@@ -205,7 +172,7 @@
 	}
 	g.mu.Lock()
 	g.withdrawAttempt(work)
-	g.returnRetryBudget(work)
+	g.admitter.ReturnRetryBudget(work.admission())
 	g.mu.Unlock()
 	return nil, &refusal{outcome: answerer.OutcomeNotRun, reason: reasonQueueTimeout}
 }
@@ -217,7 +184,7 @@
 	defer g.mu.Unlock()
 	if _, waiting := g.waiters[work.id]; waiting {
 		delete(g.waiters, work.id)
-		g.limiter.Remove(work.id)
+		g.admitter.Limiter.Remove(work.id)
 		return true
 	}
 	return !<-started
@@ -242,7 +209,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.active--
-	started, refused := g.limiter.Release(g.deps.Now())
+	started, refused := g.admitter.Limiter.Release(g.deps.Now())
 	for _, id := range refused {
 		g.notifyWaiter(id, false)
 	}
@@ -298,7 +265,7 @@
 func (g *Guard) withdrawOffer(work *task, cause error) {
 	g.mu.Lock()
 	g.withdrawAttempt(work)
-	g.returnRetryBudget(work)
+	g.admitter.ReturnRetryBudget(work.admission())
 	g.mu.Unlock()
 	g.deps.Log.Info("OfferAbandoned", "Request", work.head.RequestId, "Error", cause)
 }
--- a/transport/guard/announcement.go
+++ b/transport/guard/announcement.go
@@ -95,7 +95,7 @@
 		return changed, nil
 	}
 	g.forwarder.SetAddress(announcement.Address)
-	g.breaker = breaker.New(g.policy.FailurePause)
+	g.admitter.Breaker = breaker.New(g.policy.FailurePause)
 	if err := g.controller.Announce(now, g.controllerConfig()); err != nil {
 		return false, fmt.Errorf("starting a new run: %w", err)
 	}
@@ -116,7 +116,7 @@
 	err := g.controller.MarkLost(g.deps.Now())
 	g.logTransitions("Retired")
 	g.refuseQueued()
-	g.deps.Log.Info("Retired", "Service", g.service.Name, "Run", run, "InFlight", g.limiter.InFlight())
+	g.deps.Log.Info("Retired", "Service", g.service.Name, "Run", run, "InFlight", g.admitter.Limiter.InFlight())
 	g.mu.Unlock()
 	g.deps.OnChange()
 	if err != nil {
@@ -137,8 +137,8 @@
 		return false
 	}
 	g.server, g.service, g.policy = server, service, policy
-	g.limiter.Resize(int(server.Slots), int(server.QueueSlots))
-	g.breaker.SetPause(policy.FailurePause)
+	g.admitter.Limiter.Resize(int(server.Slots), int(server.QueueSlots))
+	g.admitter.Breaker.SetPause(policy.FailurePause)
 	g.controller.SetConfig(g.controllerConfig())
 	return true
 }
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -86,9 +86,9 @@
 	g.recordResponse(now, !bad)
 	switch {
 	case !bad:
-		g.limiter.Observe(service)
+		g.admitter.Limiter.Observe(service)
 		g.typical.Observe(work.head.Route, service)
-		g.breaker.RecordSuccess(now)
+		g.admitter.Breaker.RecordSuccess(now)
 		g.lastHeard = now
 	case !censored:
 		g.recordFailure(now, work, reasonErrorAnswer)
@@ -96,7 +96,7 @@
 	if ended {
 		g.finishAttempt(now, work, deduplicator.StateDone, status, storedAnswer(work, exchange, first))
 	}
-	return max(0, g.limiter.InFlight()-1), g.limiter.Waiting()
+	return max(0, g.admitter.Limiter.InFlight()-1), g.admitter.Limiter.Waiting()
 }
 
 // storedAnswer returns the response in the form that the deduplicator stores for
--- a/transport/guard/failure.go
+++ b/transport/guard/failure.go
@@ -52,7 +52,7 @@
 // recordFailure reports a failure of the server to the breaker. The caller holds
 // the lock.
 func (g *Guard) recordFailure(now clocker.Instant, work *task, reason string) {
-	if g.breaker.RecordFailure(now, g.failureWeight(now, work, reason)) {
+	if g.admitter.Breaker.RecordFailure(now, g.failureWeight(now, work, reason)) {
 		g.deps.Log.Info("BreakerOpened", "Request", work.head.RequestId, "Service", work.head.Service,
 			"Run", work.run, "Reason", reason)
 	}
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -239,6 +239,6 @@
 	g.running[work.id] = work
 	g.controller.Detector().StartNormalized(work.sent, work.id, g.typical.Time(work.head.Route))
 	g.deps.Log.Info("Dispatched", "Request", work.head.RequestId, "Service", work.head.Service, "Run", work.run,
-		"Rank", work.head.Rank, "Earlier", work.head.Earlier, "InFlight", g.limiter.InFlight(),
-		"Waiting", g.limiter.Waiting(), "LeftMs", -work.sent.Since(work.deadline).Milliseconds())
+		"Rank", work.head.Rank, "Earlier", work.head.Earlier, "InFlight", g.admitter.Limiter.InFlight(),
+		"Waiting", g.admitter.Limiter.Waiting(), "LeftMs", -work.sent.Since(work.deadline).Milliseconds())
 }
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/foxtailhall/foxtailhall/coordination/breaker"
+	"github.com/foxtailhall/foxtailhall/coordination/admitter"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/controller"
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
@@ -61,12 +61,9 @@
 	forwarder *forwarder.Forwarder
 
 	mu           sync.Mutex
-	limiter      *limiter.Limiter
+	admitter     *admitter.Admitter
 	deduplicator *deduplicator.Deduplicator
 	controller   *controller.Controller
-	breaker      *breaker.Breaker
-	// budget bounds the retries that reach the backend server.
-	budget *retrier.Budget
 	// nesting estimates which requests from this VM are calls made by the
 	// backend server while it serves another request.
 	nesting *retrier.NestingEstimator
@@ -93,11 +90,9 @@
 	return &Guard{
 		deps:         deps,
 		forwarder:    forwarder.New(maxIdleConnections),
-		limiter:      limiter.New(0, 0),
+		admitter:     admitter.New(),
 		deduplicator: deduplicator.New(deps.Limits),
 		controller:   controller.New(deps.Incarnation, deps.Now(), deps.EjectionRoundLifetime),
-		breaker:      breaker.New(0),
-		budget:       retrier.New(0),
 		nesting:      retrier.NewNestingEstimator(),
 		typical:      limiter.NewTypicalTimes(),
 		running:      map[uint64]*task{},
@@ -119,7 +114,7 @@
 	g.mu.Lock()
 	service := g.service.Name
 	g.mu.Unlock()
-	g.budget.SetAllowance(allowance(service))
+	g.admitter.Budget.SetAllowance(allowance(service))
 }
 
 // NestedCall reports whether a request of a route, sent from this VM, may be a
@@ -148,7 +143,7 @@
 func (g *Guard) Avoidance() (avoid, avoidNonIdempotent time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.breaker.Avoidance(g.deps.Now())
+	return g.admitter.Breaker.Avoidance(g.deps.Now())
 }
 
 // logTransitions logs the state transitions since the last call and reports
@@ -307,7 +302,7 @@
 // refuseQueued refuses the queued attempts, so that their routers can try other
 // servers. The caller holds the lock.
 func (g *Guard) refuseQueued() {
-	for _, id := range g.limiter.Clear() {
+	for _, id := range g.admitter.Limiter.Clear() {
 		g.notifyWaiter(id, false)
 	}
 }
@@ -329,7 +324,7 @@
 func (g *Guard) Load() (inFlight, waiting int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limiter.InFlight(), g.limiter.Waiting()
+	return g.admitter.Limiter.InFlight(), g.admitter.Limiter.Waiting()
 }
 
 // Evidence returns the current evidence and the remaining time of an ejection.
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
 	"github.com/foxtailhall/foxtailhall/coordination/picker"
+	"github.com/foxtailhall/foxtailhall/coordination/searcher"
 	"github.com/foxtailhall/foxtailhall/protocol/answerer"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
@@ -80,19 +81,9 @@
 	admissionTimeout = 300 * time.Millisecond
 )
 
-// constraints restricts which servers may be picked.
-type constraints struct {
-	// exclude holds the incarnations of servers that must not be picked.
-	exclude []uint64
-	// skipAvoided excludes servers that are avoided for now after failures or refusals.
-	skipAvoided bool
-	// sameZone excludes servers of other availability zones.
-	sameZone bool
-}
-
 // pick chooses the server of the next attempt, without logging it. The Server of the
 // entry is nil if none qualifies.
-func (r *Router) pick(request *callerRequest, want constraints) (tracker.Entry, picker.Reason) {
+func (r *Router) pick(request *callerRequest, want searcher.Constraints) (tracker.Entry, picker.Reason) {
 	state := r.deps.ServiceTable.ServiceState(request.service.Name)
 	if state == nil {
 		return tracker.Entry{}, picker.ReasonNone
@@ -104,10 +95,10 @@
 		Now:          r.deps.Now().Mono,
 		Random:       r.deps.Random(),
 		Idempotent:   request.idempotent,
-		SkipAvoided:  want.skipAvoided,
-		SameZoneOnly: want.sameZone,
+		SkipAvoided:  want.SkipAvoided,
+		SameZoneOnly: want.SameZone,
 	}
-	for _, incarnation := range want.exclude {
+	for _, incarnation := range want.Exclude {
 		query = query.WithTried(incarnation)
 	}
 	return picker.Pick(state.Pool, query)
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/claimer"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+	"github.com/foxtailhall/foxtailhall/coordination/searcher"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
@@ -282,7 +283,7 @@
 		return r.refuse(request, *notRun(consts.StatusNotFound, "UnknownRoute"))
 	}
 	request.service, _ = r.deps.Catalog().Service(route.Pick(r.randomFraction()))
-	entry, _ := r.pick(request, constraints{})
+	entry, _ := r.pick(request, searcher.Constraints{})
 	if entry.Server == nil {
 		return r.refuse(request, *notRun(consts.StatusServiceUnavailable, "NoBackendServer"))
 	}
--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -9,6 +9,7 @@
 
 	"github.com/foxtailhall/foxtailhall/coordination/claimer"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+	"github.com/foxtailhall/foxtailhall/coordination/searcher"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
 )
@@ -79,15 +80,15 @@
 // handleNonIdempotent runs a non-idempotent request without a key. It is retried only
 // if the previous attempt did not run and never will.
 func (r *Router) handleNonIdempotent(ctx context.Context, request *callerRequest) (*result, *refusal) {
-	var search serverSearch
+	search := newSearch(request)
 	last := result{kind: resultRefused, reason: "NoBackendServer"}
 	for {
-		entry, choice, insist := search.next(r, request)
-		if entry.Server == nil {
+		choice := r.nextServer(request, &search)
+		if choice.Entry.Server == nil {
 			return nil, notRun(consts.StatusServiceUnavailable, last.reason)
 		}
-		outcome := r.send(ctx, request, entry, choice.String(), insist)
-		search.record(&outcome, insist)
+		outcome := r.send(ctx, request, choice.Entry, choice.Reason.String(), choice.Insist)
+		search.Record(choice.Entry.Member.Incarnation, outcome.refusal(), choice.Insist)
 		last = outcome
 		more := !outcome.bodyConsumed && ctx.Err() == nil
 		history := retrier.History{Kind: retrier.KindUnkeyed, CanRetry: more && r.mayRetry(request, &outcome, 0)}
@@ -146,7 +147,7 @@
 	if binding.State != claimer.StateUnclaimed && binding.State != claimer.StateNeverRan {
 		return binding, nil
 	}
-	entry, _ := r.pick(request, constraints{})
+	entry, _ := r.pick(request, searcher.Constraints{})
 	if entry.Server == nil {
 		return binding, notRun(consts.StatusServiceUnavailable, "NoBackendServer")
 	}
--- a/transport/router/race.go
+++ b/transport/router/race.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+	"github.com/foxtailhall/foxtailhall/coordination/searcher"
 )
 
 // race runs the attempts of one idempotent request. The first good answer wins.
 type race struct {
 	router  *Router
 	request *callerRequest
-	servers serverSearch
+	search  searcher.Search
 	results chan raceResult
 	pending int
 	// cancels holds one function per attempt, in the order of their launch.
@@ -40,7 +41,8 @@
 	attempts := &race{
 		router:   r,
 		request:  request,
-		results:  make(chan raceResult, maxGuardAttempts),
+		search:   newSearch(request),
+		results:  make(chan raceResult, searcher.MaxAttempts),
 		lastStep: retrier.StepNotRun,
 		reason:   "NoBackendServer",
 	}
@@ -102,12 +104,12 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	entry, choice, insist := r.servers.next(r.router, r.request)
-	if entry.Server == nil {
+	choice := r.router.nextServer(r.request, &r.search)
+	if choice.Entry.Server == nil {
 		return false
 	}
 	if r.pending > 0 {
-		r.servers.excluded = append(r.servers.excluded, entry.Member.Incarnation)
+		r.search.Exclude(choice.Entry.Member.Incarnation)
 	}
 	r.pending++
 	ctx, cancel := context.WithCancel(ctx)
@@ -117,9 +119,9 @@
 	copied.arrivals += r.pending - 1
 	r.request.attempts++
 	go func() {
-		outcome := r.router.send(ctx, &copied, entry, choice.String(), insist)
+		outcome := r.router.send(ctx, &copied, choice.Entry, choice.Reason.String(), choice.Insist)
 		outcome.cancel = joinCancels(outcome.cancel, cancel)
-		r.results <- raceResult{result: outcome, index: index, insist: insist, request: &copied}
+		r.results <- raceResult{result: outcome, index: index, insist: choice.Insist, request: &copied}
 	}()
 	return true
 }
@@ -128,7 +130,7 @@
 // Otherwise it starts another attempt if one is allowed.
 func (r *race) handleResult(ctx context.Context, outcome raceResult) *result {
 	r.pending--
-	r.servers.record(&outcome.result, outcome.insist)
+	r.search.Record(outcome.entry.Member.Incarnation, outcome.refusal(), outcome.insist)
 	if outcome.mayHaveArrived() {
 		r.request.arrivals++
 	}
