--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -11,6 +11,11 @@
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 )
 
+// MaxQueueWait bounds the time that an attempt with a MaxWait queues here before its
+// router looks for a free slot elsewhere. Otherwise a server whose slots are taken by
+// long requests would keep it while other servers become free.
+const MaxQueueWait = 200 * time.Millisecond
+
 // Reason is why an attempt is refused, "" if it is not.
 type Reason string
 
--- a/coordination/searcher/searcher.go
+++ b/coordination/searcher/searcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/picker"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
@@ -24,6 +25,28 @@
 	maxBudgetRefusals = 6
 )
 
+const (
+	// queueWaitFraction is the fraction of the latency objective that a request may
+	// wait for a slot. Longer waits would make it and everything queued behind it late.
+	queueWaitFraction = 0.5
+	// nestedQueueWaitFraction is the fraction of its timeout that a nested request may
+	// wait for a slot.
+	nestedQueueWaitFraction = 0.6
+)
+
+// MaxQueueWait returns the total time that a request may wait for slots, 0 if only its
+// deadline bounds the wait.
+func MaxQueueWait(objective, timeout time.Duration, nested bool) time.Duration {
+	switch {
+	case objective == 0:
+		return 0
+	case nested:
+		return time.Duration(nestedQueueWaitFraction * float64(timeout))
+	default:
+		return time.Duration(queueWaitFraction * float64(min(objective, timeout)))
+	}
+}
+
 // Constraints restricts which servers may be picked.
 type Constraints struct {
 	// Exclude holds the incarnations of servers that must not be picked.
--- /dev/null
+++ b/standins/emulator/emulator.go
@@ -0,0 +1,199 @@
+// Package emulator plays patterns of load on the decisions of routers and guards: the
+// picker, the search, the admission, the breakers, the retry budgets and the warnings
+// of the product, with a virtual clock and without a network. Equal options give equal
+// results.
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+	"github.com/foxtailhall/foxtailhall/standins/stepper"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+)
+
+const (
+	// nearDelay and farDelay are the times of one way within a zone and between zones.
+	nearDelay = 300 * time.Microsecond
+	farDelay  = 700 * time.Microsecond
+	// failureTime is how fast a failing server answers.
+	failureTime = 5 * time.Millisecond
+	// workSpread is the standard deviation of ln of the service time.
+	workSpread = 0.5
+	// pingPeriod is the time between two messages of a process to others of its zone,
+	// and farPings how many of them there are to one to another zone.
+	pingPeriod = 200 * time.Millisecond
+	farPings   = 5
+	// failurePause is the first pause of a breaker.
+	failurePause = time.Second
+	// queuePerSlot is the length of a guard's queue per slot.
+	queuePerSlot = 8
+	// maxArrivals bounds the attempts of an idempotent request that reach servers.
+	maxArrivals = 3
+)
+
+// retryLimit is the limit on retries of the whole fleet.
+func retryLimit(servers int) retrier.FleetLimit {
+	return retrier.FleetLimit{Share: 0.2, Slack: 5 * float64(servers), Window: 10 * time.Second}
+}
+
+// Options configures one run.
+type Options struct {
+	Pattern  Pattern
+	Servers  int
+	Duration time.Duration
+	Seed     uint64
+}
+
+// world is the state of one run.
+type world struct {
+	Options
+	*stepper.Stepper
+	random  *rand.Rand
+	guards  []*guard
+	routers []*router
+	// meanWork is the mean service time over all kinds.
+	meanWork time.Duration
+	nextID   uint64
+	result   Result
+	// arrivals and retries are the times of first attempts and of retries at servers.
+	arrivals, retries []time.Duration
+}
+
+// Run plays a pattern.
+func Run(options Options) Result {
+	w := &world{
+		Options: options,
+		Stepper: stepper.New(time.Second),
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed^0x9E3779B97F4A7C15)),
+		result:  Result{Pattern: options.Pattern.Name, Servers: options.Servers, Kinds: map[string]*Figures{}},
+	}
+	mean := 0.0
+	for _, kind := range w.Pattern.Kinds {
+		mean += kind.Share * kind.Work.Seconds() * math.Exp(workSpread*workSpread/2)
+		w.result.Kinds[kind.Name] = &Figures{}
+	}
+	w.meanWork = time.Duration(mean * float64(time.Second))
+	members := make([]registrar.Member, 0, w.Servers)
+	for i := range w.Servers {
+		members = append(members, registrar.Member{
+			Incarnation: uint64(i + 1), Zone: strconv.Itoa(i % w.Pattern.Zones), Slots: uint32(w.Pattern.Slots),
+			State: registrar.StateServing, Service: "s",
+		})
+		w.guards = append(w.guards, newGuard(w, i))
+	}
+	for i := range w.Servers {
+		w.routers = append(w.routers, newRouter(w, i, members))
+		w.After(time.Duration(w.random.Int64N(int64(pingPeriod))), func() { w.gossip(i, 0) })
+	}
+	w.scheduleFailures()
+	w.After(0, w.arrive)
+	w.Run(time.Second + w.Duration)
+	w.checkBudget()
+	return w.result
+}
+
+func (w *world) instant() clocker.Instant { return clocker.Instant{Mono: w.Now(), Wall: w.Now()} }
+
+// elapsed returns the time since the start of the load.
+func (w *world) elapsed() time.Duration { return w.Now() - time.Second }
+
+func (w *world) zone(i int) int { return i % w.Pattern.Zones }
+
+func (w *world) delay(from, to int) time.Duration {
+	if w.zone(from) == w.zone(to) {
+		return nearDelay
+	}
+	return farDelay
+}
+
+// arrive starts one request at a random router and schedules the next arrival.
+func (w *world) arrive() {
+	capacity := float64(w.Servers*w.Pattern.Slots) / w.meanWork.Seconds()
+	rate := capacity * w.Pattern.Load
+	since := w.elapsed() - w.Pattern.BurstFrom
+	if w.Pattern.BurstFactor > 0 && since >= 0 && since < w.Pattern.BurstTime {
+		rate *= w.Pattern.BurstFactor
+	}
+	w.After(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), w.arrive)
+	drawn := w.random.Float64()
+	for _, kind := range w.Pattern.Kinds {
+		if drawn -= kind.Share; drawn < 0 {
+			w.routers[w.random.IntN(w.Servers)].start(kind)
+			return
+		}
+	}
+}
+
+// scheduleFailures makes servers fail by turns, so that FailingShare of them fail at any time.
+func (w *world) scheduleFailures() {
+	if w.Pattern.ZoneLostAt > 0 {
+		w.After(w.Pattern.ZoneLostAt, func() {
+			for i := 0; i < w.Servers; i += w.Pattern.Zones {
+				w.guards[i].failureRate = 1
+			}
+		})
+	}
+	if w.Pattern.FailingShare == 0 {
+		return
+	}
+	sound := time.Duration(float64(w.Pattern.FailingTime) * (1 - w.Pattern.FailingShare) / w.Pattern.FailingShare)
+	for _, g := range w.guards {
+		w.After(time.Duration(w.random.Int64N(int64(w.Pattern.FailingTime+sound))), func() { w.fail(g, sound) })
+	}
+}
+
+func (w *world) fail(g *guard, sound time.Duration) {
+	g.failureRate = w.Pattern.FailureRate
+	w.After(w.Pattern.FailingTime, func() {
+		g.failureRate = 0
+		w.After(sound, func() { w.fail(g, sound) })
+	})
+}
+
+// gossip exchanges warnings with another process.
+func (w *world) gossip(i, count int) {
+	w.After(pingPeriod, func() { w.gossip(i, count+1) })
+	own := w.routers[i]
+	own.warn(w.guards[i])
+	if w.Pattern.Silent {
+		return
+	}
+	near := count%farPings != 0
+	peer := w.random.IntN(w.Servers)
+	for near && w.zone(peer) != w.zone(i) || peer == i {
+		peer = w.random.IntN(w.Servers)
+	}
+	delay := w.delay(i, peer)
+	message := own.message(w.routers[peer])
+	w.After(delay, func() {
+		w.routers[peer].receive(message)
+		reply := w.routers[peer].message(own)
+		w.After(delay, func() { own.receive(reply) })
+	})
+}
+
+// checkBudget counts the windows in which more retries reached servers than allowed.
+func (w *world) checkBudget() {
+	limit := retryLimit(w.Servers)
+	firsts := 0
+	first, last := 0, 0
+	for i, from := range w.retries {
+		for last < len(w.retries) && w.retries[last] < from+limit.Window {
+			last++
+		}
+		for first < len(w.arrivals) && w.arrivals[first] < from+limit.Window {
+			first++
+		}
+		for firsts < len(w.arrivals) && w.arrivals[firsts] < from {
+			firsts++
+		}
+		if float64(last-i) > limit.Share*float64(first-firsts)+limit.Slack {
+			w.result.BudgetBreaches++
+		}
+	}
+}
--- /dev/null
+++ b/standins/emulator/pattern.go
@@ -0,0 +1,93 @@
+package emulator
+
+import "time"
+
+// Kind is a kind of request.
+type Kind struct {
+	Name string
+	// Share is the part of all requests that are of this kind.
+	Share      float64
+	Idempotent bool
+	// Rank is the urgency in a guard's queue, 0 for the most urgent.
+	Rank uint32
+	// Work is the median service time.
+	Work time.Duration
+	// Objective is the time within which an answer has its full value, Timeout the
+	// time after which the caller is gone.
+	Objective time.Duration
+	Timeout   time.Duration
+}
+
+// Pattern is a load on one service and what goes wrong meanwhile.
+type Pattern struct {
+	Name string
+	// Answers says in a few words which behavior the pattern is about.
+	Answers string
+	Zones   int
+	Slots   int
+	// Load is the rate of requests as a part of what sound servers can serve.
+	Load  float64
+	Kinds []Kind
+	// FailingShare is the part of the servers that fail at any time, for FailingTime
+	// each. A failing server answers FailureRate of its requests with an error at once.
+	FailingShare float64
+	FailingTime  time.Duration
+	FailureRate  float64
+	// SlowShare is the part of the servers that take SlowFactor times as long.
+	SlowShare  float64
+	SlowFactor float64
+	// BurstFactor multiplies the load from BurstFrom on for BurstTime.
+	BurstFactor float64
+	BurstFrom   time.Duration
+	BurstTime   time.Duration
+	// ZoneLostAt is when the servers of one zone fail all requests; 0 for never.
+	ZoneLostAt time.Duration
+	// Silent keeps routers from exchanging warnings.
+	Silent bool
+}
+
+// kinds returns a mix of urgent requests that must not run twice, lookups, and long reads.
+func kinds() []Kind {
+	return []Kind{
+		{
+			Name: "Billing", Share: 0.6, Rank: 1, Work: 400 * time.Millisecond,
+			Objective: 2500 * time.Millisecond, Timeout: 5 * time.Second,
+		},
+		{
+			Name: "Lookup", Share: 0.3, Idempotent: true, Rank: 2, Work: 500 * time.Millisecond,
+			Objective: 2500 * time.Millisecond, Timeout: 4 * time.Second,
+		},
+		{
+			Name: "LongRead", Share: 0.1, Idempotent: true, Rank: 2, Work: 1500 * time.Millisecond,
+			Objective: 6 * time.Second, Timeout: 12 * time.Second,
+		},
+	}
+}
+
+func base(name, answers string, load float64) Pattern {
+	return Pattern{Name: name, Answers: answers, Zones: 5, Slots: 6, Load: load, Kinds: kinds()}
+}
+
+// Patterns returns all patterns by name, in order.
+func Patterns() []Pattern {
+	calm := base("Calm", "nothing goes wrong", 0.5)
+
+	third := base("ThirdFailing", "servers fail for seconds each, and routers must learn of it", 0.4)
+	third.FailingShare, third.FailingTime, third.FailureRate = 0.3, 9*time.Second, 0.85
+
+	silent := third
+	silent.Name, silent.Answers, silent.Silent = "ThirdFailingSilent", "the same without warnings, to compare", true
+
+	burst := base("DawnBurst", "twice the capacity for seconds", 0.6)
+	burst.BurstFactor, burst.BurstFrom, burst.BurstTime = 3.5, 10*time.Second, 5*time.Second
+
+	slow := base("TenthSlow", "a tenth of the servers is five times slower", 0.6)
+	slow.SlowShare, slow.SlowFactor = 0.1, 5
+
+	overload := base("Overload", "more work than sound servers can do, and a third fails", 1.1)
+	overload.FailingShare, overload.FailingTime, overload.FailureRate = 0.3, 9*time.Second, 0.85
+
+	zone := base("ZoneLost", "all servers of one zone fail at once", 0.5)
+	zone.ZoneLostAt = 10 * time.Second
+	return []Pattern{calm, third, silent, burst, slow, overload, zone}
+}
--- /dev/null
+++ b/standins/emulator/result.go
@@ -0,0 +1,121 @@
+package emulator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/searcher"
+)
+
+// Figures counts the ends of the requests of one kind.
+type Figures struct {
+	Requests int
+	// InTime is within the objective, Late after it.
+	InTime, Late int
+	// Refused requests reached no server, Failed ones did.
+	Refused, Failed int
+	// Held is the total time until the refusals, LongestHold the longest of them.
+	Held, LongestHold time.Duration
+}
+
+func (f *Figures) served(took time.Duration, kind Kind) {
+	switch {
+	case took <= kind.Objective:
+		f.InTime++
+	case took <= kind.Timeout:
+		f.Late++
+	default:
+		f.Failed++
+	}
+}
+
+// ended returns the number of requests that have ended.
+func (f *Figures) ended() int { return f.InTime + f.Late + f.Refused + f.Failed }
+
+// InTimeShare returns the part of the ended requests that were answered in time.
+func (f *Figures) InTimeShare() float64 { return float64(f.InTime) / float64(max(1, f.ended())) }
+
+// Refusal reasons of guards, as indexes of Result.Refusals.
+const (
+	RefusedBusy = iota
+	RefusedDoubtful
+	RefusedUnfunded
+	RefusedOther
+	refusalReasons
+)
+
+func reasonOf(refusal searcher.Refusal) int {
+	switch {
+	case refusal.Busy:
+		return RefusedBusy
+	case refusal.Doubtful:
+		return RefusedDoubtful
+	case refusal.Unfunded:
+		return RefusedUnfunded
+	default:
+		return RefusedOther
+	}
+}
+
+// Result is what one run showed.
+type Result struct {
+	Pattern string
+	Servers int
+	Kinds   map[string]*Figures
+	// Attempts counts the attempts at guards, CrossZone those in another zone, and
+	// Refusals the refused ones by reason.
+	Attempts  int
+	CrossZone int
+	Refusals  [refusalReasons]int
+	// SlotBreaches counts the runs on servers without a free slot, BudgetBreaches the
+	// retries from which on a window held more than allowed. Both must be 0.
+	SlotBreaches   int
+	BudgetBreaches int
+}
+
+// total returns the figures over all kinds.
+func (r Result) total() Figures {
+	var sum Figures
+	for _, figures := range r.Kinds {
+		sum.Requests += figures.Requests
+		sum.InTime += figures.InTime
+		sum.Late += figures.Late
+		sum.Refused += figures.Refused
+		sum.Failed += figures.Failed
+		sum.Held += figures.Held
+		sum.LongestHold = max(sum.LongestHold, figures.LongestHold)
+	}
+	return sum
+}
+
+// Total returns the figures over all kinds.
+func (r Result) Total() Figures { return r.total() }
+
+// AttemptsPerRequest returns how many guards one request asked on average.
+func (r Result) AttemptsPerRequest() float64 {
+	return float64(r.Attempts) / float64(max(1, r.total().Requests))
+}
+
+// Sound reports whether no rule was broken.
+func (r Result) Sound() bool { return r.SlotBreaches == 0 && r.BudgetBreaches == 0 }
+
+// String returns the result as one line of key=value pairs.
+func (r Result) String() string {
+	sum := r.total()
+	text := fmt.Sprintf("Pattern=%s Servers=%d Requests=%d InTime=%.3f Late=%.3f Refused=%.3f Failed=%.3f "+
+		"Attempts=%.2f CrossZone=%.2f Busy=%d Doubtful=%d Unfunded=%d HeldMs=%d LongestHoldMs=%d",
+		r.Pattern, r.Servers, sum.Requests, sum.InTimeShare(), share(sum.Late, sum), share(sum.Refused, sum),
+		share(sum.Failed, sum), r.AttemptsPerRequest(), float64(r.CrossZone)/float64(max(1, sum.Requests)),
+		r.Refusals[RefusedBusy], r.Refusals[RefusedDoubtful], r.Refusals[RefusedUnfunded],
+		sum.Held.Milliseconds()/int64(max(1, sum.Refused)), sum.LongestHold.Milliseconds())
+	var kinds strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(r.Kinds)) {
+		fmt.Fprintf(&kinds, " %s=%.3f", name, r.Kinds[name].InTimeShare())
+	}
+	return fmt.Sprintf("%s%s SlotBreaches=%d BudgetBreaches=%d", text, kinds.String(), r.SlotBreaches, r.BudgetBreaches)
+}
+
+func share(count int, of Figures) float64 { return float64(count) / float64(max(1, of.ended())) }
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -146,16 +146,11 @@
 	}
 }
 
-// maxQueueWait bounds the time that an attempt with a hold time queues here before
-// its router looks for a free slot elsewhere. Otherwise a server whose slots are
-// taken by long requests would keep it while other servers become free.
-const maxQueueWait = 200 * time.Millisecond
-
 // awaitSlot waits until a queued attempt holds a slot, is refused or has waited
 // too long.
 func (g *Guard) awaitSlot(ctx context.Context, work *task, started chan bool) (*task, *refusal) {
 	if hold := work.head.HoldUs; hold > 0 {
-		waitCtx, cancel := context.WithTimeout(ctx, min(maxQueueWait, time.Duration(hold)*time.Microsecond))
+		waitCtx, cancel := context.WithTimeout(ctx, min(admitter.MaxQueueWait, time.Duration(hold)*time.Microsecond))
 		defer cancel()
 		ctx = waitCtx
 	}
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -75,26 +75,10 @@
 	return c.route.Priority + 1
 }
 
-const (
-	// queueWaitFraction is the fraction of the latency objective that a request may
-	// wait for a slot. Longer waits would make it and everything queued behind it late.
-	queueWaitFraction = 0.5
-	// nestedQueueWaitFraction is the fraction of its timeout that a nested request may
-	// wait for a slot.
-	nestedQueueWaitFraction = 0.6
-)
-
 // maxQueueWait returns the total time that the request may wait for slots, 0 if only
 // its deadline bounds the wait.
 func (c *callerRequest) maxQueueWait() time.Duration {
-	switch {
-	case c.route.Objective == 0:
-		return 0
-	case c.nested:
-		return time.Duration(nestedQueueWaitFraction * float64(c.timeout))
-	default:
-		return time.Duration(queueWaitFraction * float64(min(c.route.Objective, c.timeout)))
-	}
+	return searcher.MaxQueueWait(c.route.Objective, c.timeout, c.nested)
 }
 
 // maxArrivals returns how many attempts of the request may reach a backend server.
