admitter: Let the guard of a failed attempt pay for its repeat

The guard where an attempt failed now takes a token, and the next guard asks for none. Each repeat still costs one token of the fleet.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -43,6 +43,8 @@
 	Insist bool
 	// Retry is set if an earlier attempt of the request may have run.
 	Retry bool
+	// Funded is set for a retry that the guard of an earlier attempt has paid for.
+	Funded bool
 	// DerivedProbability is the probability that a retry made this request, from 0 to 1.
 	DerivedProbability float64
 }
@@ -87,7 +89,7 @@
 func (a *Admitter) takeRetryBudget(now clocker.Instant, attempt Attempt) bool {
 	a.Budget.Refill(now.Mono)
 	if attempt.Retry {
-		return a.Budget.Take()
+		return attempt.Funded || a.Budget.Take()
 	}
 	a.Budget.Deposit()
 	a.Budget.Charge(attempt.DerivedProbability)
@@ -98,9 +100,19 @@
 // called for an admitted attempt that is not sent to the server.
 func (a *Admitter) ReturnRetryBudget(attempt Attempt) {
 	if attempt.Retry {
-		a.Budget.Refund()
+		if !attempt.Funded {
+			a.Budget.Refund()
+		}
 		return
 	}
 	a.Budget.RevertDeposit()
 	a.Budget.Charge(-attempt.DerivedProbability)
 }
+
+// Fund takes a token for the retry of an attempt that failed here, so that another
+// guard need not pay for it. A failing server gets few requests and can spare its
+// budget, while the others have to take the retries.
+func (a *Admitter) Fund(now clocker.Instant) bool {
+	a.Budget.Refill(now.Mono)
+	return a.Budget.Take()
+}
--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -64,6 +64,21 @@
 		a.Limiter.Release(at(0))
 		requireAdmitted(t, a, retry, limiter.Started)
 	})
+	t.Run("FundedRetriesNeedNone", func(t *testing.T) {
+		failing, sound := oneSlot(), oneSlot()
+		failing.Budget.Deposit()
+		require.True(t, failing.Fund(at(0)))
+		require.False(t, failing.Fund(at(0)), "each token funds one retry")
+		funded := attempt(1)
+		funded.Retry, funded.Funded = true, true
+		requireAdmitted(t, sound, funded, limiter.Started)
+		sound.ReturnRetryBudget(funded)
+		unfunded := attempt(2)
+		unfunded.Retry = true
+		requireRefused(t, sound, unfunded, admitter.ReasonBusy)
+		sound.Limiter.Release(at(0))
+		requireRefused(t, sound, unfunded, admitter.ReasonNoBudget)
+	})
 	t.Run("RefusedRetriesKeepIt", func(t *testing.T) {
 		a := oneSlot()
 		a.Budget.Deposit()
--- a/standins/emulator/emulator.go
+++ b/standins/emulator/emulator.go
@@ -163,11 +163,7 @@
 	if w.Pattern.Silent {
 		return
 	}
-	near := count%farPings != 0
-	peer := w.random.IntN(w.Servers)
-	for near && w.zone(peer) != w.zone(i) || peer == i {
-		peer = w.random.IntN(w.Servers)
-	}
+	peer := w.peer(i, count%farPings != 0)
 	delay := w.delay(i, peer)
 	message := own.message(w.routers[peer])
 	w.After(delay, func() {
@@ -177,6 +173,16 @@
 	})
 }
 
+// peer draws another process, of the same zone if near is set.
+func (w *world) peer(i int, near bool) int {
+	zones := w.Pattern.Zones
+	inZone := (w.Servers - w.zone(i) + zones - 1) / zones
+	if near && inZone > 1 {
+		return (i + zones*(1+w.random.IntN(inZone-1))) % (zones * inZone)
+	}
+	return (i + 1 + w.random.IntN(w.Servers-1)) % w.Servers
+}
+
 // checkBudget counts the windows in which more retries reached servers than allowed.
 func (w *world) checkBudget() {
 	limit := retryLimit(w.Servers)
--- a/standins/emulator/emulator_test.go
+++ b/standins/emulator/emulator_test.go
@@ -4,21 +4,100 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 
 	"github.com/foxtailhall/foxtailhall/standins/emulator"
 )
 
-func play(t *testing.T, pattern emulator.Pattern, servers int) emulator.Result {
+const (
+	servers  = 30
+	duration = 15 * time.Second
+)
+
+func pattern(t *testing.T, name string) emulator.Pattern {
+	t.Helper()
+	for _, found := range emulator.Patterns() {
+		if found.Name == name {
+			return found
+		}
+	}
+	require.FailNow(t, "no such pattern", name)
+	return emulator.Pattern{}
+}
+
+// play plays a pattern on several seeds and asserts the rules that hold in each.
+func play(t *testing.T, name string) []emulator.Result {
 	t.Helper()
-	result := emulator.Run(emulator.Options{Pattern: pattern, Servers: servers, Duration: 30 * time.Second, Seed: 1})
-	t.Log(result.String())
-	return result
+	const seeds = 3
+	results := make([]emulator.Result, 0, seeds)
+	for seed := range uint64(seeds) {
+		result := emulator.Run(emulator.Options{
+			Pattern: pattern(t, name), Servers: servers, Duration: duration, Seed: seed,
+		})
+		t.Log(result.String())
+		require.Zero(t, result.SlotBreaches, "no server gets more than it has slots for")
+		require.Zero(t, result.BudgetBreaches, "the fleet keeps its retry budget")
+		results = append(results, result)
+	}
+	return results
+}
+
+// meanAttempts returns the attempts per request over all results.
+func meanAttempts(results []emulator.Result) float64 {
+	sum := 0.0
+	for _, result := range results {
+		sum += result.AttemptsPerRequest()
+	}
+	return sum / float64(len(results))
+}
+
+func TestPatternsKeepTheRules(t *testing.T) {
+	for _, found := range emulator.Patterns() {
+		t.Run(found.Name, func(t *testing.T) {
+			t.Parallel()
+			for _, result := range play(t, found.Name) {
+				require.LessOrEqual(t, result.Total().LongestHold, 3*time.Second,
+					"no caller is held past half of the longest objective before a refusal")
+			}
+		})
+	}
+}
+
+func TestRunsRepeat(t *testing.T) {
+	options := emulator.Options{Pattern: pattern(t, "Overload"), Servers: 10, Duration: 5 * time.Second, Seed: 7}
+	require.Equal(t, emulator.Run(options), emulator.Run(options))
+}
+
+// TestCalmFleet answers the pattern of a quiet day.
+func TestCalmFleet(t *testing.T) {
+	const targetAttempts = 1.3
+	results := play(t, "Calm")
+	require.Less(t, meanAttempts(results), targetAttempts)
+	for _, result := range results {
+		total := result.Total()
+		require.Zero(t, total.Refused+total.Failed)
+	}
+}
+
+// TestThirdFailing answers the pattern of servers that fail for seconds by turns: with
+// warnings routers ask fewer servers in vain.
+func TestThirdFailing(t *testing.T) {
+	warned, silent := play(t, "ThirdFailing"), play(t, "ThirdFailingSilent")
+	require.Less(t, meanAttempts(warned), meanAttempts(silent))
+	doubtful := func(results []emulator.Result) (sum int) {
+		for _, result := range results {
+			sum += result.Refusals[emulator.RefusedDoubtful]
+		}
+		return sum
+	}
+	require.Less(t, 2*doubtful(warned), doubtful(silent))
 }
 
-func TestPatterns(t *testing.T) {
-	for _, pattern := range emulator.Patterns() {
-		for _, servers := range []int{10, 30, 100} {
-			play(t, pattern, servers)
+// TestUrgentRequestsGoFirst answers the patterns of more work than the servers can do.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	for _, name := range []string{"DawnBurst", "Overload"} {
+		for _, result := range play(t, name) {
+			require.Greater(t, result.Kinds["Billing"].InTimeShare(), result.Kinds["Lookup"].InTimeShare())
 		}
 	}
 }
--- a/standins/emulator/guard.go
+++ b/standins/emulator/guard.go
@@ -36,6 +36,8 @@
 	refused bool
 	refusal searcher.Refusal
 	good    bool
+	// funded is set if the guard has paid for the next attempt.
+	funded bool
 	// load is that of the guard, avoid and avoidNonIdempotent what it says of its server.
 	load                      int
 	avoid, avoidNonIdempotent time.Duration
@@ -131,5 +133,6 @@
 		delete(g.queued, id)
 		g.run(waiting)
 	}
-	g.reply(a, answer{good: good})
+	funded := !good && a.request.kind.Idempotent && a.request.arrivals+1 < maxArrivals && g.admitter.Fund(now)
+	g.reply(a, answer{good: good, funded: funded})
 }
--- a/standins/emulator/router.go
+++ b/standins/emulator/router.go
@@ -34,6 +34,8 @@
 	search   searcher.Search
 	// arrivals counts the attempts that reached a server.
 	arrivals int
+	// funded is set while a guard has paid for the next attempt that reaches a server.
+	funded bool
 }
 
 func newRouter(w *world, index int, members []registrar.Member) *router {
@@ -102,7 +104,7 @@
 	w.result.Attempts++
 	a := &attempt{request: one, insist: choice.Insist, Attempt: admitter.Attempt{
 		ID: w.nextID, Deadline: r.deadline(one), Rank: one.kind.Rank, MaxWait: max(0, maxWait-waited),
-		Idempotent: one.kind.Idempotent, Insist: choice.Insist, Retry: one.arrivals > 0,
+		Idempotent: one.kind.Idempotent, Insist: choice.Insist, Retry: one.arrivals > 0, Funded: one.funded,
 	}}
 	to := int(choice.Entry.Member.Incarnation - 1)
 	if w.zone(to) != w.zone(r.index) {
@@ -149,6 +151,7 @@
 		return
 	}
 	one.arrivals++
+	one.funded = end.funded
 	took := w.Now() - one.received
 	switch {
 	case end.good:
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -96,11 +96,17 @@
 	return decision, string(reason)
 }
 
+// fundRetry takes a token for the next attempt of a request whose attempt failed here,
+// and reports whether there was one. The caller holds the lock.
+func (g *Guard) fundRetry(work *task) bool {
+	return work.head.Retryable && g.admitter.Fund(g.deps.Now())
+}
+
 // admission returns what the admission of the attempt depends on.
 func (w *task) admission() admitter.Attempt {
 	return admitter.Attempt{
 		ID: w.id, Deadline: w.deadline, Rank: w.head.Rank, MaxWait: time.Duration(w.head.HoldUs) * time.Microsecond,
-		Idempotent: w.head.Idempotent, Insist: w.head.Insist, Retry: w.head.Earlier > 0,
+		Idempotent: w.head.Idempotent, Insist: w.head.Insist, Retry: w.head.Earlier > 0, Funded: w.head.Funded,
 		DerivedProbability: float64(w.head.Derived),
 	}
 }
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -38,7 +38,7 @@
 	}
 	now := g.deps.Now()
 	service := now.Since(work.sent)
-	inFlight, queued := g.recordCompletion(ctx, now, work, exchange, first, ended, service)
+	inFlight, queued, funded := g.recordCompletion(ctx, now, work, exchange, first, ended, service)
 	head := &messenger.AnswerHead{
 		Status:    uint32(status),
 		Headers:   endToEndHeaders(exchange.Response),
@@ -46,6 +46,8 @@
 		InFlight:  uint32(inFlight),
 		Queued:    uint32(queued),
 		ServiceUs: service.Microseconds(),
+
+		RetryFunded: funded,
 	}
 	if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Answer{Answer: head}}); err != nil {
 		return err
@@ -71,11 +73,11 @@
 
 // recordCompletion records a response that passed the checks in the detector, the
 // limiter, the breaker and, if its body has ended, the deduplicator. It returns
-// the server's load without this attempt.
+// the server's load without this attempt, and whether the next attempt is funded.
 func (g *Guard) recordCompletion(
 	ctx context.Context, now clocker.Instant, work *task, exchange *forwarder.Exchange,
 	first []byte, ended bool, service time.Duration,
-) (inFlight, queued int) {
+) (inFlight, queued int, funded bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	status := exchange.Response.StatusCode()
@@ -92,11 +94,12 @@
 		g.lastHeard = now
 	case !censored:
 		g.recordFailure(now, work, reasonErrorAnswer)
+		funded = g.fundRetry(work)
 	}
 	if ended {
 		g.finishAttempt(now, work, deduplicator.StateDone, status, storedAnswer(work, exchange, first))
 	}
-	return max(0, g.admitter.Limiter.InFlight()-1), g.admitter.Limiter.Waiting()
+	return max(0, g.admitter.Limiter.InFlight()-1), g.admitter.Limiter.Waiting(), funded
 }
 
 // storedAnswer returns the response in the form that the deduplicator stores for
@@ -131,7 +134,7 @@
 		}
 		if !errors.Is(err, io.EOF) {
 			g.recordBrokenBody(work, ctx.Err() != nil)
-			return g.sendUnknown(stream, "CutOff")
+			return g.sendUnknown(stream, "CutOff", false)
 		}
 		g.mu.Lock()
 		g.finishAttempt(g.deps.Now(), work, deduplicator.StateDone, exchange.Response.StatusCode(), nil)
@@ -168,9 +171,10 @@
 	g.finishAttempt(now, work, deduplicator.StateBroken, 0, nil)
 	g.recordFailure(now, work, reason)
 	g.recordResponse(now, false)
+	funded := g.fundRetry(work)
 	g.mu.Unlock()
 	g.deps.Log.Info("WrongAnswer", "Request", work.head.RequestId, "Reason", reason)
-	return g.sendUnknown(stream, reason)
+	return g.sendUnknown(stream, reason, funded)
 }
 
 // violation returns how a response violates the service's declaration, or "".
--- a/transport/guard/failure.go
+++ b/transport/guard/failure.go
@@ -29,8 +29,11 @@
 	g.withdrawAttempt(work)
 	g.controller.Detector().Finish(now, work.id, true, true, work.origin)
 	g.recordFailure(now, work, reason)
+	funded := g.fundRetry(work)
 	g.mu.Unlock()
-	err := g.refuse(stream, work.head, refusal{outcome: answerer.OutcomeNotRun, reason: reason, fromServer: true})
+	err := g.refuse(stream, work.head, refusal{
+		outcome: answerer.OutcomeNotRun, reason: reason, fromServer: true, retryFunded: funded,
+	})
 	exchange.Drain()
 	return err
 }
@@ -77,20 +80,24 @@
 		return g.refuse(stream, work.head, refusal{outcome: answerer.OutcomeNotRun, reason: "ServerUnreachable"})
 	}
 	g.finishAttempt(now, work, deduplicator.StateBroken, 0, nil)
+	funded := false
 	if !censored {
 		g.recordFailure(now, work, "NoAnswer")
 		g.recordResponse(now, false)
+		funded = g.fundRetry(work)
 	}
 	g.mu.Unlock()
 	g.deps.Log.Info("Broken", "Request", work.head.RequestId, "Cancelled", censored, "Error", cause)
-	return g.sendUnknown(stream, "NoAnswer")
+	return g.sendUnknown(stream, "NoAnswer", funded)
 }
 
-// sendUnknown tells the router that the request may have run.
-func (g *Guard) sendUnknown(stream messenger.DRPCGuard_ForwardStream, reason string) error {
+// sendUnknown tells the router that the request may have run, and whether its next
+// attempt is funded.
+func (g *Guard) sendUnknown(stream messenger.DRPCGuard_ForwardStream, reason string, funded bool) error {
 	return send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: &messenger.Verdict{
-		Outcome: uint32(answerer.OutcomeUnknown),
-		Reason:  reason,
+		Outcome:     uint32(answerer.OutcomeUnknown),
+		Reason:      reason,
+		RetryFunded: funded,
 	}}})
 }
 
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -75,6 +75,8 @@
 	answer *deduplicator.Answer
 	// fromServer is set if the backend server itself refused the request.
 	fromServer bool
+	// retryFunded is set if a retry token was taken for the next attempt.
+	retryFunded bool
 }
 
 // Forward handles one attempt: it admits the request, sends it to the backend
@@ -127,6 +129,7 @@
 		Load:     uint32(max(0, inFlight+waiting)),
 		Arrived:  refused.fromServer,
 
+		RetryFunded:          refused.retryFunded,
 		AvoidMs:              uint32(avoid.Milliseconds()),
 		AvoidNonIdempotentMs: uint32(avoidNonIdempotent.Milliseconds()),
 	}}})
@@ -175,7 +178,7 @@
 	request := &protocol.Request{}
 	g.buildRequest(request, work, body)
 	if !g.mayDispatch(work) {
-		return g.sendUnknown(stream, "InvariantBroken")
+		return g.sendUnknown(stream, "InvariantBroken", false)
 	}
 	began := g.deps.Now()
 	var info interpreter.AnswerInfo
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -68,6 +68,11 @@
 	return true
 }
 
+// retryFunded reports whether the guard has paid for the request's next attempt.
+func (r *result) retryFunded() bool {
+	return r.head.GetRetryFunded() || r.verdict.GetRetryFunded()
+}
+
 // temporaryRefusal reports whether the guard refused because it had no free slot
 // or doubts the health of its server. The request may insist at the same guard.
 func (r *result) temporaryRefusal() bool {
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -57,6 +57,8 @@
 	attempts int
 	// arrivals counts the attempts that may have reached a backend server.
 	arrivals int
+	// funded is set while a guard has paid for the next attempt that reaches a server.
+	funded bool
 }
 
 // deadline returns the time at which the caller's timeout or the route's time limit
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -102,6 +102,8 @@
 		Earlier:     uint32(request.arrivals),
 		Derived:     float32(request.parentRetryProbability),
 		Offer:       true,
+		Funded:      request.funded,
+		Retryable:   request.arrivals+1 < request.maxArrivals(),
 	}
 	if !head.Offer {
 		r.addPayload(request, head)
--- a/transport/router/race.go
+++ b/transport/router/race.go
@@ -117,6 +117,7 @@
 	r.cancels = append(r.cancels, cancel)
 	copied := *r.request
 	copied.arrivals += r.pending - 1
+	r.request.funded = false
 	r.request.attempts++
 	go func() {
 		outcome := r.router.send(ctx, &copied, choice.Entry, choice.Reason.String(), choice.Insist)
@@ -134,6 +135,7 @@
 	if outcome.mayHaveArrived() {
 		r.request.arrivals++
 	}
+	r.request.funded = r.request.funded || outcome.request.funded
 	attemptResult := outcome.attemptResult()
 	if attemptResult == retrier.ResultAnswered {
 		return &outcome.result
--- a/transport/router/record.go
+++ b/transport/router/record.go
@@ -15,6 +15,7 @@
 	server := outcome.entry.Server
 	if outcome.mayHaveArrived() {
 		request.arrivals++
+		request.funded = outcome.retryFunded()
 	}
 	state := r.deps.ServiceTable.ServiceState(request.service.Name)
 	if state != nil && !insist {
