gossiper: Send less to other zones, and learn a starting fleet sooner

Each member pinged another zone once a second, whatever the size of its zone; entries that came with a full view of the own zone were spread again by everyone; and a view that lacked hundreds of entries was not asked for before all changes had been spread, 40 a message. Now a zone as a whole pings others some 2.5 times a second, changes go to other zones for 5 s, what the own zone knows is not spread again, and reports of sound servers come every 5 s instead of 2.

--- a/coordination/detector/detector.go
+++ b/coordination/detector/detector.go
@@ -56,7 +56,7 @@
 	// spreadSampleWeight is the weight of a new sample in the moving variance.
 	spreadSampleWeight = 0.02
 	// normalReportPeriod is the time between reports on a server that looks like its peers.
-	normalReportPeriod = 2 * time.Second
+	normalReportPeriod = 5 * time.Second
 	// initialReportPeriod is the time between reports while there is no baseline.
 	initialReportPeriod = 500 * time.Millisecond
 	// degradedReportPeriod is the time between reports on a degraded server.
--- a/coordination/ejector/ejector.go
+++ b/coordination/ejector/ejector.go
@@ -27,7 +27,7 @@
 	// minSamples is the minimum number of samples for evidence to count towards a baseline.
 	minSamples = 5
 	// reportLifetime is how long a report counts towards the baseline.
-	reportLifetime = 6 * time.Second
+	reportLifetime = 15 * time.Second
 	// minLatencyExcessLog is the minimum ln of the ratio between the service time of
 	// an outlier and the median of the pool.
 	minLatencyExcessLog = 0.45
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -34,13 +34,19 @@
 	// zones. It can be low because all members of the zone send it.
 	farSends = 2
 	// fullPeriod is the least time between two requests for a full view, and
-	// farFullPeriod between two of them to other availability zones.
-	fullPeriod    = time.Second
-	farFullPeriod = 4 * time.Second
-	// pingsPerFarPing is how many regular pings there are to one of another
-	// availability zone. Traffic between zones is expensive, and each zone detects
-	// the failures of its own members.
-	pingsPerFarPing = 5
+	// farFullPeriod between two of them to other availability zones by a zone of
+	// farFullMembers. In larger zones each member requests them less often.
+	fullPeriod     = time.Second
+	farFullPeriod  = 4 * time.Second
+	farFullMembers = 8
+	// minPingsPerFarPing is how many regular pings there are at least to one of another
+	// availability zone, and farPingsPerMember is that number per other member of the
+	// own zone. Traffic between zones is expensive, each zone detects the failures of
+	// its own members, and together its members ping others often enough.
+	minPingsPerFarPing = 5
+	farPingsPerMember  = 2
+	// farSpreadPings is how many regular pings long a change is sent to other zones.
+	farSpreadPings = 25
 	// minNearPeers is the number of other members of the own zone from which on
 	// other zones are pinged less often than the own zone.
 	minNearPeers = 3
@@ -82,6 +88,8 @@
 	adopted []warner.Warning
 	// pingsDrawn counts the regular pings.
 	pingsDrawn int
+	// nearPeers is the number of others in the own zone at the last refill of near.
+	nearPeers int
 	// hasNearPeers is set while the own zone has at least minNearPeers others.
 	// Otherwise near holds the members of all zones.
 	hasNearPeers bool
@@ -207,7 +215,7 @@
 	passed := now.Since(g.downSince[member.Incarnation])
 	switch {
 	case member.State == registrar.StateUnreachable && passed >= goneTimeout:
-		g.apply(now, member.WithState(registrar.StateGone))
+		g.change(now, member.WithState(registrar.StateGone))
 	case member.State == registrar.StateGone && passed >= forgetTimeout:
 		g.roster = g.roster.WithoutMember(member.Incarnation)
 		delete(g.downSince, member.Incarnation)
@@ -219,10 +227,10 @@
 
 // nextTarget returns the next member to ping. It goes through the members of the
 // own zone in random order, shuffled again for each round. Every pingsPerFarPing
-// calls it returns a member of another zone if the own zone has enough members.
+// calls on average it returns a member of another zone if the own zone has enough members.
 func (g *Gossiper) nextTarget() (registrar.Member, bool) {
 	g.pingsDrawn++
-	if g.pingsDrawn%pingsPerFarPing == 0 && g.hasNearPeers && g.hasFarMembers {
+	if g.hasNearPeers && g.hasFarMembers && g.random()%uint64(max(minPingsPerFarPing, farPingsPerMember*g.nearPeers)) == 0 {
 		if member, ok := g.popFrom(&g.far); ok {
 			return member, true
 		}
@@ -247,6 +255,7 @@
 
 func (g *Gossiper) refill(queue *[]uint64) {
 	near, far := g.others()
+	g.nearPeers = len(near)
 	g.hasNearPeers = len(near) >= minNearPeers
 	switch {
 	case queue == &g.far:
@@ -363,43 +372,56 @@
 	if !ok || !member.State.Live() {
 		return
 	}
-	g.apply(now, member.WithState(registrar.StateUnreachable))
+	g.change(now, member.WithState(registrar.StateUnreachable))
+}
+
+// change adopts and spreads an entry that this process itself has changed.
+func (g *Gossiper) change(now clocker.Instant, member registrar.Member) {
+	if g.apply(now, member) {
+		g.spread(member)
+	}
 }
 
 func (g *Gossiper) merge(now clocker.Instant, message Message) {
-	g.apply(now, message.Sender)
+	if g.apply(now, message.Sender) {
+		g.spread(message.Sender)
+	}
+	// What the own zone knows already reaches its other members by full views as well.
+	known := message.Full && message.Sender.Zone == g.self.Zone
 	for _, change := range message.Changes {
-		g.apply(now, change)
+		if g.apply(now, change) && !known {
+			g.spread(change)
+		}
 	}
 	g.adopted = append(g.adopted, g.warner.Merge(now, message.Warnings)...)
 }
 
-// apply adopts an entry if it is newer than the known one. An entry about this
-// process itself is refuted instead, and another incarnation at this process's
-// address is marked as gone.
-func (g *Gossiper) apply(now clocker.Instant, member registrar.Member) {
+// apply adopts an entry if it is newer than the known one, and reports whether it did.
+// An entry about this process itself is refuted instead, and another incarnation at
+// this process's address is marked as gone.
+func (g *Gossiper) apply(now clocker.Instant, member registrar.Member) bool {
 	if member.Incarnation == 0 || !member.State.Known() {
-		return
+		return false
 	}
 	if member.Incarnation == g.self.Incarnation {
 		g.refute(member)
-		return
+		return false
 	}
 	known, ok := g.roster.Member(member.Incarnation)
 	if ok && !member.Supersedes(known) {
-		return
+		return false
 	}
 	if !ok && member.State == registrar.StateGone {
-		return
+		return false
 	}
 	if member.Address == g.self.Address {
 		member = member.WithState(registrar.StateGone)
 	}
 	g.roster = g.roster.WithMember(member)
-	g.spread(member)
 	if !member.State.Live() {
 		g.downSince[member.Incarnation] = now
 	}
+	return true
 }
 
 // refute raises the version of the own entry above that of an entry of others
--- a/coordination/gossiper/gossiper_test.go
+++ b/coordination/gossiper/gossiper_test.go
@@ -295,3 +295,25 @@
 		})
 	}
 }
+
+// BenchmarkJoin measures the bytes between 5 zones while a whole fleet starts, per member.
+func BenchmarkJoin(b *testing.B) {
+	const zones = 5
+	for _, size := range []int{30, 100, 350} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for i := range b.N {
+				c := newZonedCluster(size, zones, uint64(i+1))
+				for j := range c.members {
+					for k := 1; k <= 10; k++ {
+						c.members[j].AddSeeds(c.entry((j + k*zones) % size).Address)
+					}
+				}
+				rounds := c.until(1000, c.complete)
+				c.rounds(25)
+				b.ReportMetric(float64(c.farBytes)/float64(size), "farB/member")
+				b.ReportMetric(float64(c.bytes)/float64(size), "B/member")
+				b.ReportMetric((time.Duration(rounds) * gossiper.PingPeriod).Seconds(), "s-complete")
+			}
+		})
+	}
+}
--- a/coordination/gossiper/spread.go
+++ b/coordination/gossiper/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
@@ -11,6 +12,8 @@
 // broadcast is the progress of spreading one change.
 type broadcast struct {
 	sends int
+	// since is the number of regular pings that had been drawn when it began.
+	since int
 }
 
 // message returns a message to a member. The zero Member stands for an unknown receiver.
@@ -54,7 +57,11 @@
 func (g *Gossiper) takeChanges(zone string) []registrar.Member {
 	pending, maxSends := g.pendingFor(zone)
 	incarnations := make([]uint64, 0, len(pending))
-	for incarnation := range pending {
+	for incarnation, change := range pending {
+		if maxSends == farSends && g.pingsDrawn-change.since > farSpreadPings {
+			delete(pending, incarnation)
+			continue
+		}
 		incarnations = append(incarnations, incarnation)
 	}
 	slices.SortFunc(incarnations, func(a, b uint64) int {
@@ -91,9 +98,9 @@
 
 // spread starts to spread a change.
 func (g *Gossiper) spread(member registrar.Member) {
-	g.pendingNear[member.Incarnation] = broadcast{}
+	g.pendingNear[member.Incarnation] = broadcast{since: g.pingsDrawn}
 	if member.Zone == g.self.Zone {
-		g.pendingFar[member.Incarnation] = broadcast{}
+		g.pendingFar[member.Incarnation] = broadcast{since: g.pingsDrawn}
 	}
 }
 
@@ -105,15 +112,17 @@
 	return count
 }
 
-// needsFull reports whether to request a full view: the views still differ after
-// all changes have been spread, and no full view was requested recently.
+// needsFull reports whether to request a full view: the views still differ after all
+// changes have been spread, or there are too many for one message, and no full view was
+// requested recently.
 func (g *Gossiper) needsFull(now clocker.Instant, message Message) bool {
-	if message.Full || message.Digest == g.roster.Digest() || len(g.pendingNear)+len(g.pendingFar) > 0 {
+	pending := len(g.pendingNear) + len(g.pendingFar)
+	if message.Full || message.Digest == g.roster.Digest() || pending > 0 && pending <= maxChanges {
 		return false
 	}
 	last, period := &g.lastFull, fullPeriod
 	if g.hasNearPeers && message.Sender.Zone != g.self.Zone {
-		last, period = &g.lastFarFull, farFullPeriod
+		last, period = &g.lastFarFull, farFullPeriod*time.Duration(1+g.nearPeers/farFullMembers)
 	}
 	if now.Since(*last) < period {
 		return false
