delegator: Let three processes of each zone follow the store for all

The three oldest members of a zone follow the store now, with reads of 4 s; the others hear of a version by gossip, which sends three pings in each of five ticks after a change, and fetch it from a peer, first from the own zone. Each process still reads the newest version at its start. Gossip carries the age of the last successful read; if nobody's is recent, all follow by turns.

--- /dev/null
+++ b/coordination/delegator/delegator.go
@@ -0,0 +1,56 @@
+// Package delegator decides which processes read the source of the configuration. A few
+// in each availability zone follow it and the others learn of new versions by gossip, so
+// that the calls to the source do not grow with the fleet.
+package delegator
+
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+)
+
+const (
+	// followersPerZone is how many members of each zone follow the source.
+	followersPerZone = 3
+	// PollWait is how long a follower's read waits for a new version. Each read that
+	// returns shows that the source can be reached.
+	PollWait = 4 * time.Second
+	// PollSlack is the time allowed for a read in addition to PollWait.
+	PollSlack = 2 * time.Second
+	// confirmationTimeout is the age of the last successful read of any follower from
+	// which on others follow the source themselves.
+	confirmationTimeout = PollWait + PollSlack + 1500*time.Millisecond
+	// takeoverDelay is added to confirmationTimeout for each rank, up to maxDelayedRank,
+	// so that not all members call a source that comes back at the same moment.
+	takeoverDelay  = 50 * time.Millisecond
+	maxDelayedRank = 60
+)
+
+// Rank returns the number of live members of a zone that started before the process with
+// an incarnation. Leaving members don't count.
+func Rank(members []registrar.Member, zone string, incarnation uint64) int {
+	rank := 0
+	for _, member := range members {
+		if member.Zone == zone && member.Incarnation < incarnation &&
+			member.State.Live() && member.State != registrar.StateLeaving {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Follows reports whether the process of a rank follows the source. confirmed is the age
+// of the last successful read that it knows of, its own or another's.
+func Follows(rank int, confirmed time.Duration) bool {
+	return rank < followersPerZone || confirmed > confirmationTimeout+time.Duration(min(rank, maxDelayedRank))*takeoverDelay
+}
+
+// Follower is what a client of the source tells a process while it reads for it.
+type Follower struct {
+	// Apply is called with the text of each version.
+	Apply func(text []byte)
+	// Reached is called after each read that succeeded.
+	Reached func()
+	// Wanted reports whether the process follows the source at the moment.
+	Wanted func() bool
+}
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -50,8 +50,10 @@
 	// minNearPeers is the number of other members of the own zone from which on
 	// other zones are pinged less often than the own zone.
 	minNearPeers = 3
-	// urgentPings is how many members are pinged in the tick after the own entry changed.
-	urgentPings = 3
+	// urgentPings is how many members are pinged in the tick after the own entry changed,
+	// and in versionTicks ticks after a new version of the configuration.
+	urgentPings  = 3
+	versionTicks = 5
 )
 
 // Gossiper is the membership view of one process. It is not safe for concurrent use.
@@ -78,6 +80,12 @@
 	lastFarFull   clocker.Instant
 	nextSeed      int
 	configVersion uint64
+	// urgentTicks is how many of the next ticks ping several members.
+	urgentTicks int
+	// confirmedAt is when the source of the configuration was last known to be read,
+	// once everConfirmed is set.
+	confirmedAt   clocker.Instant
+	everConfirmed bool
 	// selfChanged is set until the next tick after a change of the own entry, or
 	// after a new warning about the own server.
 	selfChanged bool
@@ -120,8 +128,30 @@
 // Self returns the process's own entry.
 func (g *Gossiper) Self() registrar.Member { return g.self }
 
-// SetConfigVersion sets the version in force, which is sent with every message.
-func (g *Gossiper) SetConfigVersion(configVersion uint64) { g.configVersion = configVersion }
+// SetConfigVersion sets the version in force, which is sent with every message. A new
+// version is sent to several members in each of the next ticks.
+func (g *Gossiper) SetConfigVersion(configVersion uint64) {
+	if configVersion != g.configVersion {
+		g.urgentTicks = versionTicks
+	}
+	g.configVersion = configVersion
+}
+
+// Confirm records that the source of the configuration was read at a time.
+func (g *Gossiper) Confirm(at clocker.Instant) {
+	if !g.everConfirmed || at.Mono > g.confirmedAt.Mono {
+		g.confirmedAt, g.everConfirmed = at, true
+	}
+}
+
+// Confirmed returns the age of the last successful read of the configuration's source
+// by any process, as far as this one knows, negative if it knows of none.
+func (g *Gossiper) Confirmed(now clocker.Instant) time.Duration {
+	if !g.everConfirmed {
+		return -1
+	}
+	return now.Since(g.confirmedAt)
+}
 
 // AddSeeds adds seed addresses.
 func (g *Gossiper) AddSeeds(seeds ...string) {
@@ -165,9 +195,10 @@
 	g.expireMembers(now)
 	var pings []Ping
 	count := 1
-	if g.selfChanged {
+	if g.selfChanged || g.urgentTicks > 0 {
 		count = urgentPings
 		g.selfChanged = false
+		g.urgentTicks = max(0, g.urgentTicks-1)
 	}
 	for range count {
 		if target, ok := g.nextTarget(); ok {
@@ -393,6 +424,9 @@
 			g.spread(change)
 		}
 	}
+	if message.Confirmed >= 0 {
+		g.Confirm(now.Add(-message.Confirmed))
+	}
 	g.adopted = append(g.adopted, g.warner.Merge(now, message.Warnings)...)
 }
 
--- a/coordination/gossiper/gossiper_test.go
+++ b/coordination/gossiper/gossiper_test.go
@@ -30,6 +30,8 @@
 	bytes int
 	// farBytes counts the bytes between zones.
 	farBytes int
+	// heard is called with each version that a member hears of, unless it is nil.
+	heard func(member int, version uint64)
 }
 
 func newCluster(count int, seed uint64) *cluster { return newZonedCluster(count, 1, seed) }
@@ -69,6 +71,9 @@
 		return gossiper.Message{}, false
 	}
 	reply := c.members[to].Receive(c.instant(), message)
+	if c.heard != nil {
+		c.heard(to, message.ConfigVersion)
+	}
 	size := proto.Size(converter.GossipToProto(message)) + proto.Size(converter.GossipToProto(reply))
 	c.bytes += size
 	if from%c.zones != to%c.zones {
@@ -81,6 +86,9 @@
 	to := c.index(ping.Address)
 	reply, ok := c.exchange(from, to, ping.Message)
 	if ok {
+		if c.heard != nil {
+			c.heard(from, reply.ConfigVersion)
+		}
 		for _, more := range c.members[from].Acked(c.instant(), reply) {
 			c.ping(from, more)
 		}
--- a/coordination/gossiper/message.go
+++ b/coordination/gossiper/message.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"time"
+
 	"github.com/foxtailhall/foxtailhall/coordination/warner"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 )
@@ -13,6 +15,9 @@
 	Digest uint64
 	// ConfigVersion is the version in force at the sender.
 	ConfigVersion uint64
+	// Confirmed is the age of the last successful read of the configuration's source
+	// that the sender knows of, negative if it knows of none.
+	Confirmed time.Duration
 	// Full is set if Changes holds all entries that the receiver lacks.
 	Full bool
 	// WantFull asks for all entries whose fingerprints are not in Known.
--- a/coordination/gossiper/spread.go
+++ b/coordination/gossiper/spread.go
@@ -23,6 +23,7 @@
 		Changes:       g.takeChanges(to.Zone),
 		Digest:        g.roster.Digest(),
 		ConfigVersion: g.configVersion,
+		Confirmed:     g.Confirmed(now),
 		WantFull:      wantFull,
 		Warnings:      g.warner.Current(now, g.warningsFor(to.Zone)),
 	}
--- a/transport/converter/converter.go
+++ b/transport/converter/converter.go
@@ -65,6 +65,7 @@
 		WantFull:      message.WantFull,
 		Known:         message.Known,
 		Warnings:      warningsToProto(message.Warnings),
+		ConfirmedMs:   uint32(min(max(0, message.Confirmed.Milliseconds()+1), math.MaxUint32)),
 	}
 }
 
@@ -83,6 +84,7 @@
 		WantFull:      message.GetWantFull(),
 		Known:         message.GetKnown(),
 		Warnings:      warningsFromProto(message.GetWarnings()),
+		Confirmed:     time.Duration(int64(message.GetConfirmedMs())-1) * time.Millisecond,
 	}
 }
 
--- a/transport/runner/configuration.go
+++ b/transport/runner/configuration.go
@@ -16,8 +16,9 @@
 	readWait = time.Second
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = 200 * time.Millisecond
-	// fetchTimeout bounds fetching a configuration version from a peer.
-	fetchTimeout = 3 * time.Second
+	// fetchTimeout bounds fetching a configuration version from a peer. Another peer is
+	// asked afterwards.
+	fetchTimeout = time.Second
 	// snapshotsPerRetention is the number of snapshots of the configuration
 	// appended within the log's retention time.
 	snapshotsPerRetention = 3
@@ -110,7 +111,13 @@
 // fetchIfNewer fetches the configuration from a peer whose version is newer. Only
 // one fetch runs at a time.
 func (r *Runner) fetchIfNewer(ctx context.Context, address string, version uint64) {
-	if version <= r.catalog().Version() || !r.fetching.CompareAndSwap(false, true) {
+	if version <= r.catalog().Version() {
+		return
+	}
+	if r.expectsVersion(address) && (!pause(ctx, fetchDelay) || version <= r.catalog().Version()) {
+		return
+	}
+	if !r.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	defer r.fetching.Store(false)
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -83,7 +83,7 @@
 		r.guard.Tick(r.roster.Load().HealthySlots)
 		r.sendDueReport(ctx)
 		r.tickEjectors()
-		if ticks++; ticks%ticksPerPing == 0 {
+		if ticks++; ticks%ticksPerPing == 0 || r.urgent.Swap(false) {
 			r.gossipOnce(ctx)
 			r.probeSilentServers(ctx)
 		}
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -77,6 +77,10 @@
 	configMu sync.Mutex
 	// fetching is set while a configuration version is fetched from a peer.
 	fetching atomic.Bool
+	// following is set while this process reads new versions from the Source itself.
+	following atomic.Bool
+	// urgent is set after a new version, so that the next tick sends gossip.
+	urgent atomic.Bool
 
 	// gossipMu guards gossip.
 	gossipMu sync.Mutex
@@ -261,8 +265,16 @@
 	return r.logState.Load().Catalog()
 }
 
-// logSilence returns the time since the last successful read from the log or the Source.
+// logSilence returns the time since the last successful read from the log, or by any
+// process from the Source.
 func (r *Runner) logSilence() time.Duration {
+	if r.deps.Source != nil {
+		r.gossipMu.Lock()
+		defer r.gossipMu.Unlock()
+		if confirmed := r.gossip.Confirmed(r.now()); confirmed >= 0 {
+			return confirmed
+		}
+	}
 	return r.now().Mono - time.Duration(r.lastConfigContact.Load())
 }
 
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/foxtailhall/foxtailhall/coordination/delegator"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 )
@@ -11,8 +12,8 @@
 // Source replaces the log as the origin of the configuration, in numbered and
 // checked versions, and of the addresses of other processes.
 type Source struct {
-	// Follow calls apply with the text of each version until the context is done.
-	Follow func(ctx context.Context, apply func(text []byte))
+	// Follow reads versions for the follower until the context is done.
+	Follow func(ctx context.Context, follower delegator.Follower)
 	// Decode parses the text of a version.
 	Decode func(text []byte) (uint64, cataloger.Objects, error)
 	// Register publishes the address of the process to others, Deregister removes it.
@@ -23,8 +24,8 @@
 }
 
 const (
-	// fetchDelay is how long to wait for a version from the Source before it is
-	// fetched from a peer that has it.
+	// fetchDelay is how long a process waits for a version that it expects before it
+	// fetches it from a peer that has it.
 	fetchDelay = 300 * time.Millisecond
 	// deregisterTimeout bounds the removal of the address at a planned stop.
 	deregisterTimeout = 500 * time.Millisecond
@@ -60,6 +61,7 @@
 	}
 	r.sourceVersion.Store(&version{catalog: catalog, text: text})
 	r.deps.Log.Info("VersionInForce", "Version", number, "Before", before, "From", from, "Objects", catalog.Len())
+	r.urgent.Store(true)
 	r.deps.Meter.CountEvent("VersionInForce")
 	r.guard.Configure()
 	r.requestRefresh()
@@ -67,21 +69,45 @@
 
 // followSource applies the versions from the Source until the context is done.
 func (r *Runner) followSource(ctx context.Context) error {
-	r.deps.Source.Follow(ctx, func(text []byte) {
-		r.lastConfigContact.Store(int64(r.now().Mono))
-		r.applyVersion(text, "Store")
+	r.deps.Source.Follow(ctx, delegator.Follower{
+		Apply: func(text []byte) { r.applyVersion(text, "Store") },
+		Reached: func() {
+			r.gossipMu.Lock()
+			defer r.gossipMu.Unlock()
+			r.gossip.Confirm(r.now())
+			r.lastConfigContact.Store(int64(r.now().Mono))
+		},
+		Wanted: r.followsSource,
 	})
 	return nil
 }
 
-// fetchVersion fetches a newer version from a peer, unless the Source delivers it first.
-func (r *Runner) fetchVersion(ctx context.Context, address string, number uint64) {
-	if r.catalog().Version() > 0 && !pause(ctx, fetchDelay) {
-		return
+// followsSource reports whether this process reads new versions from the Source itself.
+// The others fetch them from their peers.
+func (r *Runner) followsSource() bool {
+	r.gossipMu.Lock()
+	confirmed := r.gossip.Confirmed(r.now())
+	r.gossipMu.Unlock()
+	rank := delegator.Rank(r.roster.Load().Members(), r.deps.Settings.Zone, r.incarnation)
+	follows := confirmed < 0 || delegator.Follows(rank, confirmed)
+	if r.following.Swap(follows) != follows {
+		r.deps.Log.Info("FollowsSource", "Follows", follows, "Rank", rank, "ConfirmedMs", confirmed.Milliseconds())
 	}
-	if number <= r.catalog().Version() {
-		return
+	return follows
+}
+
+// expectsVersion reports whether a version that a peer has may reach this process on a
+// cheaper way: from the Source if it follows that, or else through its own zone.
+func (r *Runner) expectsVersion(address string) bool {
+	if r.deps.Source == nil || r.catalog().Version() == 0 {
+		return false
 	}
+	member, ok := r.roster.Load().MemberAt(address)
+	return r.following.Load() || ok && member.Zone != r.deps.Settings.Zone
+}
+
+// fetchVersion fetches a newer version from a peer.
+func (r *Runner) fetchVersion(ctx context.Context, address string, number uint64) {
 	reply, err := r.connector.GuardClient(ctx, address).Fetch(ctx, &messenger.FetchRequest{Have: r.catalog().Version()})
 	if err != nil {
 		r.deps.Log.Info("FetchFailed", "Peer", address, "Version", number, "Error", err)
