--- a/coordination/warner/warner_test.go
+++ b/coordination/warner/warner_test.go
@@ -79,22 +79,24 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const lasting = time.Second
 		count := rapid.IntRange(2, 20).Draw(t, "processes")
-		delay := rapid.Int64Range(0, int64(lasting/2)).Draw(t, "delay")
+		delay := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(lasting/2)).Draw(t, "delay"))
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		processes := make([]*warner.Warner, count)
 		for i := range processes {
 			processes[i] = warner.New(uint64(i + 1))
 		}
 		processes[0].SetOwn(at(0), lasting, lasting)
-		now := time.Duration(0)
-		for now < 2*lasting {
-			from, to := processes[random.IntN(count)], processes[random.IntN(count)]
-			message := from.Current(at(now), everyone)
-			now += time.Duration(random.Int64N(delay + int64(time.Millisecond)))
-			to.Merge(at(now), message)
+		// Clocks are not compared, so each process may add the delay of one message.
+		for now := time.Duration(0); now < lasting+time.Duration(count)*delay; now += delay {
+			messages := make([][]warner.Warning, count)
+			for i, process := range processes {
+				messages[i] = process.Current(at(now), everyone)
+			}
+			for _, message := range messages {
+				processes[random.IntN(count)].Merge(at(now+delay), message)
+			}
 		}
-		// One path's delay may be added at each process, since clocks are not compared.
-		now += time.Duration(count) * time.Duration(delay+int64(time.Millisecond))
+		now := lasting + time.Duration(count+1)*delay
 		for _, process := range processes {
 			require.Empty(t, process.Current(at(now), everyone))
 		}
