router, runner: Keep a panic from ending the process

Report of other operators: one unexpected error took a whole process down. Nothing caught a panic in a caller's request, in an attempt or in a call of another process, so one would have ended all requests of the process. It ends its own request now, with an unknown outcome (502), and is logged with its stack as Panicked. Tests: TestPanicsEndTheirRequestAlone, TestPanicsEndTheirCallAlone.

--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -87,7 +87,7 @@
 		if choice.Entry.Server == nil {
 			return nil, notRun(consts.StatusServiceUnavailable, last.reason)
 		}
-		outcome := r.send(ctx, request, choice.Entry, choice.Reason.String(), choice.Insist)
+		outcome := r.sendContained(ctx, request, choice)
 		search.Record(choice.Entry.Member.Incarnation, outcome.refusal(), choice.Insist)
 		last = outcome
 		more := !outcome.bodyConsumed && ctx.Err() == nil
--- a/transport/router/race.go
+++ b/transport/router/race.go
@@ -120,7 +120,7 @@
 	r.request.funded = false
 	r.request.attempts++
 	go func() {
-		outcome := r.router.send(ctx, &copied, choice.Entry, choice.Reason.String(), choice.Insist)
+		outcome := r.router.sendContained(ctx, &copied, choice)
 		outcome.cancel = joinCancels(outcome.cancel, cancel)
 		r.results <- raceResult{result: outcome, index: index, insist: choice.Insist, request: &copied}
 	}()
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -82,7 +82,7 @@
 	r.acceptor = acceptor.New(address, acceptor.Dependencies{
 		Log:       deps.Log,
 		Limits:    func() cataloger.Limits { return deps.Catalog().Limits() },
-		Handle:    r.serve,
+		Handle:    r.serveContained,
 		Malformed: r.refuseMalformed,
 	})
 	return r
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -44,7 +44,7 @@
 		Manager: connector.Options(),
 		Log:     r.logPeerError,
 	}
-	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener); err != nil {
+	if err := drpcserver.NewWithOptions(&containedHandler{Handler: mux, log: r.deps.Log}, options).Serve(ctx, listener); err != nil {
 		return fmt.Errorf("serving other processes: %w", err)
 	}
 	return nil
