admitter: Refuse calls of repeats once the budget is overdrawn

Calls were charged but never refused, so the sum had no bound. A call that a repeat made, more likely than not, is refused now where the balance is below a tenth of the server's slack; the burst takes two fifths of the slack instead of 0.45. TestFleetKeepsItsBound draws such calls too; CallsOfRetriesEndWithTheBudget.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -84,18 +84,25 @@
 }
 
 // takeRetryBudget credits the budget for a first attempt, or takes a token for a
-// retry of a request that may already have reached a server. It reports whether
-// the attempt may run.
+// retry of a request that may already have reached a server. A call that a retry made
+// is itself load that the budget bounds. It reports whether the attempt may run.
 func (a *Admitter) takeRetryBudget(now clocker.Instant, attempt Attempt) bool {
 	a.Budget.Refill(now.Mono)
 	if attempt.Retry {
 		return attempt.Funded || a.Budget.Take()
 	}
+	if attempt.DerivedProbability >= likelyDerived && a.Budget.Overdrawn(attempt.DerivedProbability) {
+		return false
+	}
 	a.Budget.Deposit()
 	a.Budget.Charge(attempt.DerivedProbability)
 	return true
 }
 
+// likelyDerived is the probability from which on a request counts as the call of a
+// retry, which is refused when the budget is overdrawn.
+const likelyDerived = 0.5
+
 // ReturnRetryBudget reverts what an attempt took from the budget or added to it. It is
 // called for an admitted attempt that is not sent to the server.
 func (a *Admitter) ReturnRetryBudget(attempt Attempt) {
--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -20,7 +20,7 @@
 	a := admitter.New()
 	a.Limiter.Resize(1, 2)
 	a.Breaker.SetPause(time.Second)
-	a.Budget.SetAllowance(retrier.Allowance{Share: 1, Burst: 1})
+	a.Budget.SetAllowance(retrier.Allowance{Share: 1, Burst: 1, Debt: 1})
 	return a
 }
 
@@ -88,6 +88,18 @@
 		late.Deadline = at(time.Minute)
 		requireAdmitted(t, a, late, limiter.Started)
 	})
+	t.Run("CallsOfRetriesEndWithTheBudget", func(t *testing.T) {
+		a := oneSlot()
+		a.Budget.SetAllowance(retrier.Allowance{Share: 0.1, Burst: 1, Debt: 1})
+		derived := attempt(1)
+		derived.DerivedProbability = 1
+		requireAdmitted(t, a, derived, limiter.Started)
+		a.Limiter.Release(at(0))
+		requireRefused(t, a, derived, admitter.ReasonNoBudget)
+		unlikely := attempt(2)
+		unlikely.DerivedProbability = 0.4
+		requireAdmitted(t, a, unlikely, limiter.Started)
+	})
 	t.Run("DerivedRequestsAreCharged", func(t *testing.T) {
 		a := oneSlot()
 		derived := attempt(1)
--- a/coordination/retrier/fleet_test.go
+++ b/coordination/retrier/fleet_test.go
@@ -12,7 +12,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 )
 
-// TestFleetKeepsItsBound generates requests and retries at all servers of a
+// TestFleetKeepsItsBound generates requests, retries and calls of retries at all servers of a
 // service, which all restart at times, and checks that the retries within any window stay
 // within the fleet's share and slack.
 func TestFleetKeepsItsBound(t *testing.T) {
@@ -33,6 +33,7 @@
 		restarts := rapid.SliceOfN(rapid.IntRange(0, steps-1), 0, 4).Draw(t, "restartsOfAll")
 		busy := rapid.IntRange(0, 6).Draw(t, "busy")
 		attempts := rapid.IntRange(0, 3).Draw(t, "greedy")
+		derived := rapid.IntRange(0, 3).Draw(t, "derived")
 		var requests, retries [steps]int
 		for i := range steps {
 			for n := range budgets {
@@ -47,6 +48,12 @@
 					budget.Deposit()
 					requests[i]++
 				}
+				for range derived {
+					if !budget.Overdrawn(1) {
+						budget.Charge(1)
+						retries[i]++
+					}
+				}
 				for range attempts {
 					if budget.Take() {
 						retries[i]++
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -28,9 +28,12 @@
 	PerSecond float64
 	// Burst is the most that can be saved up, in tokens.
 	Burst float64
+	// Debt is how far derived calls may overdraw the budget, in tokens.
+	Debt float64
 }
 
-// DefaultBurst is the budget of an idle server, in tokens.
+// DefaultBurst is the budget of an idle server, and how far derived calls may overdraw
+// it, in tokens.
 const DefaultBurst = 10
 
 // FleetLimit bounds the retries of one service over all of its servers together.
@@ -47,10 +50,11 @@
 	// The rest covers what a server does not see, such as retries that are lost
 	// on the way to it.
 	grantedShare = 0.95
-	// slackRefillShare and slackBurstShare are the parts of the fleet's slack
-	// that are granted as a steady refill and as a burst.
+	// slackRefillShare, slackBurstShare and slackDebtShare are the parts of the fleet's
+	// slack that are granted as a steady refill, as a burst and as debt.
 	slackRefillShare = 0.4
-	slackBurstShare  = 0.45
+	slackBurstShare  = 0.4
+	slackDebtShare   = 0.1
 )
 
 // Allowance returns the allowance of one server if the service has the given
@@ -61,6 +65,7 @@
 		Share:     grantedShare * f.Share,
 		PerSecond: slackRefillShare * each / f.Window.Seconds(),
 		Burst:     slackBurstShare * each,
+		Debt:      slackDebtShare * each,
 	}
 }
 
@@ -75,6 +80,8 @@
 	burst atomic.Int64
 	// perSecond is in thousandths of a token per second.
 	perSecond atomic.Int64
+	// debt is in thousandths of a token.
+	debt atomic.Int64
 	// refilledAt is the monotonic time of the last refill.
 	refilledAt atomic.Int64
 }
@@ -83,7 +90,7 @@
 // It starts empty because the process may have used its share just before a restart.
 func New(share float64) *Budget {
 	budget := &Budget{}
-	budget.SetAllowance(Allowance{Share: share, Burst: DefaultBurst})
+	budget.SetAllowance(Allowance{Share: share, Burst: DefaultBurst, Debt: DefaultBurst})
 	return budget
 }
 
@@ -93,6 +100,7 @@
 	b.share.Store(int64(allowance.Share * milliPerToken))
 	b.burst.Store(int64(allowance.Burst * milliPerToken))
 	b.perSecond.Store(int64(allowance.PerSecond * milliPerToken))
+	b.debt.Store(int64(allowance.Debt * milliPerToken))
 	b.add(0)
 }
 
@@ -124,11 +132,16 @@
 	}
 }
 
-// Charge takes tokens for load that cannot be refused: a nested call, weighted
-// by the probability that a retry made it. The balance may become negative;
-// retries are then denied until it has recovered.
+// Charge takes tokens for a nested call, weighted by the probability that a retry made
+// it. The balance may become negative; retries are then denied until it has recovered.
 func (b *Budget) Charge(tokens float64) { b.add(-int64(tokens * milliPerToken)) }
 
+// Overdrawn reports whether a charge would take the balance below the debt that is
+// allowed.
+func (b *Budget) Overdrawn(tokens float64) bool {
+	return b.tokens.Load()-int64(tokens*milliPerToken) < -b.debt.Load()
+}
+
 // Refund returns the token of a retry that has not reached the backend server.
 func (b *Budget) Refund() { b.add(milliPerToken) }
 
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -120,7 +120,7 @@
 	settings := r.settings.Load()
 	if r.deps.Source == nil {
 		policy, _ := r.catalog().PolicyOf(service)
-		return retrier.Allowance{Share: policy.RetryShare, Burst: retrier.DefaultBurst}
+		return retrier.Allowance{Share: policy.RetryShare, Burst: retrier.DefaultBurst, Debt: retrier.DefaultBurst}
 	}
 	r.maxKnownServers[service] = max(r.maxKnownServers[service], len(r.roster.Load().Pool(service)), minAssumedServers)
 	fleet := retrier.FleetLimit{Share: settings.RetryShare, Slack: settings.RetrySlack, Window: settings.RetryWindow}
