deduplicator, supervisor, guard: Mend faults noticed while rewording

Without tests of their own (the guard has none yet): an attempt queued at a guard that stops or is ejected is refused as such, not as a timeout in the queue; an answer whose start can't be sent ends its attempt; /status shows the version in force on a platform.

--- a/coordination/deduplicator/deduplicator.go
+++ b/coordination/deduplicator/deduplicator.go
@@ -125,6 +125,8 @@
 	updatedAt clocker.Instant
 	// answer is nil if none was stored or if it was evicted.
 	answer *Answer
+	// stored is the record's element in the list of stored answers, nil without an answer.
+	stored *list.Element
 }
 
 // Deduplicator records the attempts and keys of one guard. It is not safe for concurrent use.
@@ -138,9 +140,8 @@
 	// by time, oldest first.
 	keys     map[string]*list.Element
 	keyOrder *list.List
-	// answered holds the key records in the order in which their answers were
-	// stored. A record whose answer was dropped on expiry stays until eviction
-	// by size reaches it.
+	// answered holds the key records with an answer in the order in which the answers
+	// were stored.
 	answered    *list.List
 	storedBytes int
 }
@@ -241,13 +242,13 @@
 }
 
 // Withdraw fences a running attempt that never reached the backend server and
-// releases its key.
+// releases its key, unless another attempt holds it.
 func (d *Deduplicator) Withdraw(id AttemptID, key string) {
 	if element, ok := d.attempts[id]; ok {
 		element.Value.(*attempt).state = StateFenced
 	}
 	element, ok := d.keys[key]
-	if !ok || element.Value.(*keyRecord).state != StateRunning {
+	if !ok || element.Value.(*keyRecord).state != StateRunning || element.Value.(*keyRecord).attempt != id {
 		return
 	}
 	d.keyOrder.Remove(element)
@@ -282,11 +283,12 @@
 	if answer == nil || len(answer.Body) > d.limits.AnswerBytes {
 		return
 	}
+	d.dropAnswer(record)
 	record.answer = answer
-	d.answered.PushBack(record)
+	record.stored = d.answered.PushBack(record)
 	d.storedBytes += len(answer.Body)
 	for d.storedBytes > d.limits.AnswerBytes {
-		d.dropAnswer(d.answered.Remove(d.answered.Front()).(*keyRecord))
+		d.dropAnswer(d.answered.Front().Value.(*keyRecord))
 	}
 }
 
@@ -295,7 +297,8 @@
 		return
 	}
 	d.storedBytes -= len(record.answer.Body)
-	record.answer = nil
+	d.answered.Remove(record.stored)
+	record.answer, record.stored = nil, nil
 }
 
 // Resolve returns the state and status of an attempt whose answer the router
--- a/coordination/supervisor/supervisor.go
+++ b/coordination/supervisor/supervisor.go
@@ -130,7 +130,10 @@
 		Permit(TriggerLeave, registrar.StateLeaving).
 		Permit(TriggerLost, registrar.StateStarting)
 	s.machine.Configure(registrar.StateLeaving).
-		Permit(TriggerDrained, registrar.StateGone)
+		Permit(TriggerDrained, registrar.StateGone).
+		Ignore(TriggerLost)
+	s.machine.Configure(registrar.StateGone).
+		Ignore(TriggerLost)
 	s.machine.OnTransitioned(func(_ context.Context, t stateless.Transition) {
 		s.transitions = append(s.transitions, Transition{
 			From:    t.Source.(registrar.State),
--- a/coordination/supervisor/supervisor_test.go
+++ b/coordination/supervisor/supervisor_test.go
@@ -54,7 +54,10 @@
 		require.NoError(t, s.Fire(at(66*time.Second), supervisor.TriggerLeave))
 		_, err := s.Eject(at(66 * time.Second))
 		require.Error(t, err)
+		require.NoError(t, s.Fire(at(66*time.Second), supervisor.TriggerLost), "its server may end first")
+		requireState(t, s, 66*time.Second, registrar.StateLeaving)
 		require.NoError(t, s.Fire(at(67*time.Second), supervisor.TriggerDrained))
 		requireState(t, s, 67*time.Second, registrar.StateGone)
+		require.NoError(t, s.Fire(at(67*time.Second), supervisor.TriggerLost))
 	})
 }
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -172,10 +172,14 @@
 		g.releaseSlot()
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.withdrawAttempt(work)
 	g.admitter.ReturnRetryBudget(work.admission())
-	g.mu.Unlock()
-	return nil, &refusal{outcome: answerer.OutcomeNotRun, reason: reasonQueueTimeout}
+	reason := g.unavailableReason()
+	if reason == "" {
+		reason = reasonQueueTimeout
+	}
+	return nil, &refusal{outcome: answerer.OutcomeNotRun, reason: reason}
 }
 
 // leaveQueue removes an attempt from the queue and reports whether it holds no
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -49,13 +49,11 @@
 
 		RetryFunded: funded,
 	}
-	if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Answer{Answer: head}}); err != nil {
-		return err
-	}
-	if n > 0 {
-		if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Data{Data: first}}); err != nil {
-			return err
+	if err := sendStart(stream, head, first); err != nil {
+		if !ended {
+			g.recordBrokenBody(work, true)
 		}
+		return err
 	}
 	if !ended {
 		return g.stream(ctx, stream, work, exchange)
@@ -63,6 +61,17 @@
 	return send(stream, &messenger.Frame{Part: &messenger.Frame_End{End: true}})
 }
 
+// sendStart sends the head of an answer and the first bytes of its body.
+func sendStart(stream messenger.DRPCGuard_ForwardStream, head *messenger.AnswerHead, first []byte) error {
+	if err := send(stream, &messenger.Frame{Part: &messenger.Frame_Answer{Answer: head}}); err != nil {
+		return err
+	}
+	if len(first) == 0 {
+		return nil
+	}
+	return send(stream, &messenger.Frame{Part: &messenger.Frame_Data{Data: first}})
+}
+
 // firstChunkSize is the whole length of a short body, otherwise MaxBufferedBytes.
 func firstChunkSize(length int64) int64 {
 	if length < 0 || length > MaxBufferedBytes {
--- a/transport/runner/status.go
+++ b/transport/runner/status.go
@@ -14,7 +14,7 @@
 // status returns the content of the administrator's status page.
 func (r *Runner) status() administrator.Status {
 	state := r.logState.Load()
-	catalog := state.Catalog()
+	catalog := r.catalog()
 	evidence, ejectedLeft := r.guard.Evidence()
 	inFlight, waiting := r.guard.Load()
 	memberStatus := r.guard.MemberStatus()
