router, gossiper, claimer: Send the target with the release, and mend small faults

An offer that is refused no longer carries method and target. The branch for attempts that are not offered is gone, since all are; the internal text errUnexpectedFrame no longer reaches callers as a reason. The turn of a seed's ping could be passed over after a change of the own entry, which draws several pings at once. A malformed Foxtailhall-Key-Time is told from a missing one.

--- a/coordination/claimer/claimer.go
+++ b/coordination/claimer/claimer.go
@@ -191,6 +191,7 @@
 var (
 	ErrKeyMalformed   = eris.New("bound key is malformed")
 	ErrKeyTimeMissing = eris.New("key carries no time: send a UUIDv7 or the header Foxtailhall-Key-Time in Unix milliseconds")
+	ErrKeyTimeInvalid = eris.New("header Foxtailhall-Key-Time is no positive number of Unix milliseconds")
 	ErrKeyExpired     = eris.New("key is older than keys are remembered")
 	ErrKeyInFuture    = eris.New("key's time lies in the future")
 	ErrKeyTooLong     = eris.New("key is longer than 200 bytes")
@@ -259,7 +260,7 @@
 	if headerValue != "" {
 		at, err := strconv.ParseInt(headerValue, 10, 64)
 		if err != nil || at <= 0 {
-			return 0, ErrKeyTimeMissing
+			return 0, ErrKeyTimeInvalid
 		}
 		return at, nil
 	}
--- a/coordination/claimer/claimer_test.go
+++ b/coordination/claimer/claimer_test.go
@@ -40,6 +40,12 @@
 		_, err := claimer.KeyTime("any", "")
 		require.ErrorIs(t, err, claimer.ErrKeyTimeMissing)
 	})
+	t.Run("Malformed", func(t *testing.T) {
+		for _, value := range []string{"yesterday", "-5", "0", "1e400"} {
+			_, err := claimer.KeyTime("any", value)
+			require.ErrorIs(t, err, claimer.ErrKeyTimeInvalid)
+		}
+	})
 	t.Run("TooOld", func(t *testing.T) {
 		require.ErrorIs(t, claimer.CheckAge(100000, 1, time.Minute), claimer.ErrKeyExpired)
 	})
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -94,8 +94,10 @@
 	warned time.Duration
 	// adopted holds the warnings received since the last call of TakeWarnings.
 	adopted []warner.Warning
-	// pingsDrawn counts the regular pings.
-	pingsDrawn int
+	// pingsDrawn counts the regular pings, and lastSeedPing is its value at the last
+	// ping of a seed.
+	pingsDrawn   int
+	lastSeedPing int
 	// nearPeers is the number of others in the own zone at the last refill of near.
 	nearPeers int
 	// hasNearPeers is set while the own zone has at least minNearPeers others.
@@ -326,9 +328,10 @@
 // otherwise at each call. These pings reunite parts of the fleet that have lost
 // contact.
 func (g *Gossiper) unknownSeed() (string, bool) {
-	if g.hasNearPeers && g.pingsDrawn%pingsPerSeedPing != 0 {
+	if g.hasNearPeers && g.pingsDrawn-g.lastSeedPing < pingsPerSeedPing {
 		return "", false
 	}
+	g.lastSeedPing = g.pingsDrawn
 	for range g.seeds {
 		seed := g.seeds[g.nextSeed%len(g.seeds)]
 		g.nextSeed++
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -257,7 +257,8 @@
 			g.withdrawOffer(work, got.err)
 			return got.err
 		}
-		work.head.Headers, work.head.Body, work.head.BodyFollows = got.head.Headers, got.head.Body, got.head.BodyFollows
+		work.head.Method, work.head.Uri, work.head.Headers = got.head.Method, got.head.Uri, got.head.Headers
+		work.head.Body, work.head.BodyFollows = got.head.Body, got.head.BodyFollows
 		return nil
 	case <-timer.C:
 		body.abandon()
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -7,13 +7,9 @@
 	"io"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 )
 
-var errUnexpectedFrame = eris.New("guard sent an unexpected frame")
-
 // forward runs the attempt's Forward stream and sets the outcome. An attempt that
 // was offered but not released did not run and never will.
 func (r *Router) forward(ctx context.Context, request *callerRequest, outcome *result, insist bool) {
@@ -45,7 +41,6 @@
 	}
 	outcome.stream = stream
 	head := r.requestHead(request, outcome, insist)
-	outcome.released = !head.Offer
 	if err := stream.Send(&messenger.Frame{Part: &messenger.Frame_Request{Request: head}}); err != nil {
 		outcome.reason = "Send"
 		return
@@ -60,7 +55,7 @@
 		outcome.responded = true
 		if verdict := frame.GetVerdict(); verdict != nil {
 			if verdict.Admitted {
-				r.release(request, outcome, head)
+				r.release(request, outcome)
 				continue
 			}
 			if verdict.Queued {
@@ -74,22 +69,20 @@
 			outcome.readBodyPrefix()
 			return
 		}
-		outcome.reason = errUnexpectedFrame.Error()
+		outcome.reason = "UnexpectedFrame"
 		return
 	}
 }
 
 func (r *Router) requestHead(request *callerRequest, outcome *result, insist bool) *messenger.RequestHead {
 	remaining := -r.deps.Now().Since(request.deadline())
-	head := &messenger.RequestHead{
+	return &messenger.RequestHead{
 		Attempt:     outcome.attemptID[:],
 		Incarnation: outcome.entry.Member.Incarnation,
 		Key:         request.key,
 		Idempotent:  request.idempotent,
 		IssuedMs:    outcome.issuedMs,
 		BudgetUs:    remaining.Microseconds(),
-		Method:      request.method,
-		Uri:         request.uri,
 		BodyLength:  request.bodyLength,
 		Service:     request.service.Name,
 		Caller:      request.callerHash,
@@ -105,36 +98,27 @@
 		Funded:      request.funded,
 		Retryable:   request.arrivals+1 < request.maxArrivals(),
 	}
-	if !head.Offer {
-		r.addPayload(request, head)
-	}
-	return head
-}
-
-// addPayload adds the header fields, and the body if it is short enough to be sent
-// in one frame.
-func (r *Router) addPayload(request *callerRequest, head *messenger.RequestHead) {
-	head.Headers = request.headers
-	head.BodyFollows = request.bodyStream != nil || len(request.body) > inlineBodyBytes
-	if !head.BodyFollows {
-		head.Body = request.body
-	}
 }
 
-// release lets a guard that has admitted the attempt run it, and sends the header
-// fields and the body. Errors are only logged: a broken stream ends the attempt at
-// the guard as well.
-func (r *Router) release(request *callerRequest, outcome *result, head *messenger.RequestHead) {
+// release lets a guard that has admitted the attempt run it, and sends what it needs for
+// that: method, target, header fields and body. Errors are only logged: a broken stream
+// ends the attempt at the guard as well.
+func (r *Router) release(request *callerRequest, outcome *result) {
 	outcome.released = true
-	if head.Offer {
-		r.addPayload(request, head)
-		rest := &messenger.RequestHead{Headers: head.Headers, Body: head.Body, BodyFollows: head.BodyFollows}
-		if err := outcome.stream.Send(&messenger.Frame{Part: &messenger.Frame_Request{Request: rest}}); err != nil {
-			r.deps.Log.Info("ReleaseBroken", "Request", request.id, "Error", err)
-			return
-		}
+	rest := &messenger.RequestHead{
+		Method:      request.method,
+		Uri:         request.uri,
+		Headers:     request.headers,
+		BodyFollows: request.bodyStream != nil || len(request.body) > inlineBodyBytes,
+	}
+	if !rest.BodyFollows {
+		rest.Body = request.body
+	}
+	if err := outcome.stream.Send(&messenger.Frame{Part: &messenger.Frame_Request{Request: rest}}); err != nil {
+		r.deps.Log.Info("ReleaseBroken", "Request", request.id, "Error", err)
+		return
 	}
-	if !head.BodyFollows {
+	if !rest.BodyFollows {
 		return
 	}
 	var err error
