--- /dev/null
+++ b/coordination/gossiper/news.go
@@ -0,0 +1,50 @@
+package gossiper
+
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/warner"
+)
+
+// SetConfigVersion sets the version in force, which is sent with every message. A new
+// version is sent to several members in each of the next ticks.
+func (g *Gossiper) SetConfigVersion(configVersion uint64) {
+	if configVersion != g.configVersion {
+		g.urgentTicks = versionTicks
+	}
+	g.configVersion = configVersion
+}
+
+// Confirm records that the source of the configuration was read at a time.
+func (g *Gossiper) Confirm(at clocker.Instant) {
+	if !g.everConfirmed || at.Mono > g.confirmedAt.Mono {
+		g.confirmedAt, g.everConfirmed = at, true
+	}
+}
+
+// Confirmed returns the age of the last successful read of the configuration's source
+// by any process, as far as this one knows, negative if it knows of none.
+func (g *Gossiper) Confirmed(now clocker.Instant) time.Duration {
+	if !g.everConfirmed {
+		return -1
+	}
+	return now.Since(g.confirmedAt)
+}
+
+// SetWarning sets how long requests should avoid the own server. The durations are 0
+// if there is no reason to. A new warning is sent without delay.
+func (g *Gossiper) SetWarning(now clocker.Instant, avoid, avoidNonIdempotent time.Duration) {
+	if avoid > 0 && g.warned <= 0 {
+		g.selfChanged = true
+	}
+	g.warned = avoid
+	g.warner.SetOwn(now, avoid, avoidNonIdempotent)
+}
+
+// TakeWarnings returns the warnings received since the last call.
+func (g *Gossiper) TakeWarnings() []warner.Warning {
+	taken := g.adopted
+	g.adopted = nil
+	return taken
+}
