--- a/standins/tabulator/tabulator.go
+++ b/standins/tabulator/tabulator.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -18,6 +19,8 @@
 	ID      string `json:"id"`
 	Command string `json:"cmd"`
 	Why     string `json:"why"`
+	// Args holds the arguments of the command.
+	Args []string `json:"argv"`
 	// Head is the Git commit that was measured.
 	Head string `json:"head"`
 	Site string `json:"site"`
@@ -65,13 +68,19 @@
 		if err := json.Unmarshal(text, &entry); err != nil {
 			return nil, fmt.Errorf("reading %s: %w", name, err)
 		}
-		if entry.Command == "score" && len(entry.Days) > 0 && entry.Score != nil {
+		if entry.scoresWholeFleet() {
 			entries = append(entries, entry)
 		}
 	}
 	return entries, nil
 }
 
+// scoresWholeFleet reports whether the entry holds a score of a site at its full size.
+// The small twins of large sites have marks and worth of their own.
+func (e Entry) scoresWholeFleet() bool {
+	return e.Command == "score" && len(e.Days) > 0 && e.Score != nil && !slices.Contains(e.Args, "--small")
+}
+
 // Write writes one table per site, which compares the newest run with the first, and
 // then the notes.
 func Write(out io.Writer, entries []Entry, notes string) error {
--- a/standins/tabulator/tabulator_test.go
+++ b/standins/tabulator/tabulator_test.go
@@ -16,12 +16,14 @@
 "days":[{"name":"quiet-1","G":0.4,"top":0.7,"served":0.9,"prices":[["a",1,0.01],["b",2,0.03],["c",3,0.02]]}]}`
 	newestEntry = `{"id":"b2","cmd":"score","site":"hall","head":"0123456789abcdef","score":1,
 "days":[{"name":"quiet-1","G":0.75,"top":0.7,"served":0.95,"rules":{"LOST":1},"prices":[]}]}`
+	smallEntry = `{"id":"d4","cmd":"score","site":"hall","score":0.1,"argv":["hall.toml","--small"],
+"days":[{"name":"quiet-1","G":0.1,"top":0.7,"served":0.5,"prices":[]}]}`
 	unscoredEntry = `{"id":"c3","cmd":"run","site":"hall","score":null,"days":[]}`
 )
 
 func TestPage(t *testing.T) {
 	folder := t.TempDir()
-	for name, text := range map[string]string{"1.json": firstEntry, "2.json": newestEntry, "3.json": unscoredEntry} {
+	for name, text := range map[string]string{"1.json": firstEntry, "2.json": newestEntry, "3.json": unscoredEntry, "4.json": smallEntry} {
 		require.NoError(t, os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600))
 	}
 	entries, err := tabulator.Read(folder)
