--- a/standins/tabulator/tabulator_test.go
+++ b/standins/tabulator/tabulator_test.go
@@ -23,7 +23,10 @@
 
 func TestPage(t *testing.T) {
 	folder := t.TempDir()
-	for name, text := range map[string]string{"1.json": firstEntry, "2.json": newestEntry, "3.json": unscoredEntry, "4.json": smallEntry} {
+	files := map[string]string{
+		"1.json": firstEntry, "2.json": newestEntry, "3.json": unscoredEntry, "4.json": smallEntry,
+	}
+	for name, text := range files {
 		require.NoError(t, os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600))
 	}
 	entries, err := tabulator.Read(folder)
