platform: End reads of the store on connections that went silent

Callers saw requests handled by an older version than the one confirmed over 2 s before (CONFIG), after open connections had gone silent without a reset.

The HTTP client probed its connections after 15 s.

Change: connections to the store are probed after a second without data and fail after two (transport/dialer). The store's calls go through transport/requester, which uses the client of the backend servers; the other HTTP client could not be given such connections. Its other effect: a call whose context ends is broken off instead of continuing in the background.

--- a/commands/run.go
+++ b/commands/run.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/jessevdk/go-flags"
@@ -20,6 +21,7 @@
 	"github.com/foxtailhall/foxtailhall/state/loader"
 	"github.com/foxtailhall/foxtailhall/transport/logwriter"
 	"github.com/foxtailhall/foxtailhall/transport/meter"
+	"github.com/foxtailhall/foxtailhall/transport/requester"
 	"github.com/foxtailhall/foxtailhall/transport/runner"
 )
 
@@ -103,6 +105,15 @@
 	}
 }
 
+const (
+	// idleStoreConnections bounds the idle connections to the store. One read at a time
+	// waits for versions; other calls are rare.
+	idleStoreConnections = 2
+	// storeSilence is how long a connection to the store may be silent before a read on it
+	// fails. A version published meanwhile is still in force within 3 s.
+	storeSilence = 2 * time.Second
+)
+
 // build returns the process and, on a platform, the endpoints that the platform
 // calls.
 func (c *runCommand) build(settings loader.Settings, log *slog.Logger) (*runner.Runner, *platform.Endpoints, error) {
@@ -121,11 +132,8 @@
 		}
 		return process, nil, nil
 	}
-	store, err := platform.NewStore(settings.StoreAddress)
-	if err != nil {
-		return nil, nil, fmt.Errorf("creating the store client: %w", err)
-	}
-	source := &platform.Source{Store: store, Log: log, Pause: platform.Pause}
+	calls := requester.New(settings.StoreAddress, idleStoreConnections, storeSilence)
+	source := &platform.Source{Store: platform.NewStore(settings.StoreAddress, calls.Do), Log: log, Pause: platform.Pause}
 	decoder := platform.Decoder{FloorShare: settings.FloorShare, RetryShare: settings.RetryShare}
 	deps.Callers, deps.Servers = platform.Callers(), platform.Servers()
 	deps.Source = &runner.Source{
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/rotisserie/eris"
 
+	"github.com/foxtailhall/foxtailhall/transport/dialer"
 	"github.com/foxtailhall/foxtailhall/transport/peeker"
 	"github.com/foxtailhall/foxtailhall/transport/reader"
 )
@@ -22,9 +23,6 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxHeadBytes bounds the status line and header fields of an answer.
 	maxHeadBytes = 64 << 10
-	// keepAlivePeriod and keepAliveProbes detect an unresponsive server.
-	keepAlivePeriod = time.Second
-	keepAliveProbes = 3
 	// defaultIdleTimeout is the assumed idle timeout of a server that announces none.
 	defaultIdleTimeout = 5 * time.Second
 	// idleTimeoutFraction is the fraction of the server's idle timeout after which a
@@ -50,6 +48,7 @@
 	idle []*connection
 	// maxIdle bounds the length of idle.
 	maxIdle int
+	dialer  *net.Dialer
 }
 
 // connection is one connection to the backend server.
@@ -64,9 +63,10 @@
 }
 
 // New returns a forwarder without an address, which fails every request until
-// SetAddress is called. It keeps up to maxIdle idle connections.
-func New(maxIdle int) *Forwarder {
-	return &Forwarder{maxIdle: maxIdle}
+// SetAddress is called. It keeps up to maxIdle idle connections. A connection fails once
+// it has been silent for silence, whole seconds and at least two.
+func New(maxIdle int, silence time.Duration) *Forwarder {
+	return &Forwarder{maxIdle: maxIdle, dialer: dialer.New(nil, dialTimeout, silence)}
 }
 
 // SetAddress sets the backend server's IP:port and closes all idle connections, since
@@ -145,10 +145,7 @@
 	if address == "" {
 		return nil, eris.New("no backend server has announced its address")
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
-	}}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := f.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connecting to %s: %w", address, err)
 	}
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -19,6 +19,9 @@
 const testTimeout = 10 * time.Second
 
 // server runs a scripted handler for each connection.
+// silence is longer than any exchange of these tests.
+const silence = 30 * time.Second
+
 type server struct {
 	t        *testing.T
 	listener net.Listener
@@ -59,7 +62,7 @@
 }
 
 func (s *server) forwarder() *forwarder.Forwarder {
-	f := forwarder.New(4)
+	f := forwarder.New(4, silence)
 	f.SetAddress(s.listener.Addr().String())
 	return f
 }
@@ -216,7 +219,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	f := forwarder.New(1)
+	f := forwarder.New(1, silence)
 	f.SetAddress(address)
 	_, err = send(t, f, "a", nil, 0)
 	require.ErrorIs(t, err, forwarder.ErrNotSent)
--- a/transport/forwarder/fuzz_test.go
+++ b/transport/forwarder/fuzz_test.go
@@ -43,7 +43,7 @@
 		}
 	}()
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		sender := forwarder.New(0)
+		sender := forwarder.New(0, silence)
 		sender.SetAddress(listener.Addr().String())
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -33,6 +33,9 @@
 	// announcementTTL is how long a backend server counts as present after its
 	// last announcement or successful response.
 	announcementTTL = 6 * time.Second
+	// serverSilence is how long a connection to the backend server may be silent before the
+	// exchange on it fails. A server that is busy still acknowledges.
+	serverSilence = 4 * time.Second
 	// drainPollPeriod is how often Leave checks for requests still in flight.
 	drainPollPeriod = 5 * time.Millisecond
 )
@@ -89,7 +92,7 @@
 func New(deps Dependencies) *Guard {
 	return &Guard{
 		deps:         deps,
-		forwarder:    forwarder.New(maxIdleConnections),
+		forwarder:    forwarder.New(maxIdleConnections, serverSilence),
 		admitter:     admitter.New(),
 		deduplicator: deduplicator.New(deps.Limits),
 		controller:   controller.New(deps.Incarnation, deps.Now(), deps.EjectionRoundLifetime),
