connector: Give up connections on which a call got nothing

Cause: a call that ends by its time limit is cancelled on its connection, and the connection goes back to the pool as free. The pool hands out the one that has been idle longest, so all silent connections to a peer are tried in turn, for good.

Evidence: TestSilentConnectionsAreNotUsedAgain fails without the change: after one unanswered call, a second one with 10 s to spend ends by its limit as well.

Change: a call that ended without any data from the other process, 100 ms or more after its start, closes its connection and the idle ones that have been silent since. The line ConnectionSilent and the event counter name it. An attempt whose connection is closed was cancelled already, so nothing else changes for it.

--- a/transport/connector/connector.go
+++ b/transport/connector/connector.go
@@ -35,28 +35,40 @@
 
 // Connector opens and pools connections. It is safe for concurrent use.
 type Connector struct {
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	pool *drpcpool.Pool[string, *conn]
+	// now returns the time since the connector was made.
+	now func() time.Duration
 	// count is told the length of each message; it may be nil.
 	count ByteCounter
+	// silent is told of each silent connection; it may be nil.
+	silent SilenceObserver
 	// dial opens a TCP connection. Tests may replace it.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// SilenceObserver is told of a call that ended after the given time without any data from
+// the process at address, and how many idle connections to it were closed besides its own.
+type SilenceObserver func(address string, after time.Duration, idleClosed int)
+
 // New returns a connector without connections. Its connections use the given source IP
 // address, unless it is nil, so that peers see the address that the process is known by.
-// count, unless it is nil, is told the length of each message.
-func New(source net.IP, count ByteCounter) *Connector {
+// count, unless it is nil, is told the length of each message, and silent of each
+// connection that is given up since nothing arrives on it.
+func New(source net.IP, count ByteCounter, silent SilenceObserver) *Connector {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
+	start := time.Now()
 	return &Connector{
-		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		pool: drpcpool.New[string, *conn](drpcpool.Options{
 			Expiration:  idleExpiry,
 			KeyCapacity: maxIdlePerGuard,
 		}),
-		dial:  dialer.DialContext,
-		count: count,
+		dial:   dialer.DialContext,
+		now:    func() time.Duration { return time.Since(start) },
+		count:  count,
+		silent: silent,
 	}
 }
 
@@ -70,12 +82,17 @@
 	return messenger.NewDRPCGuardClient(&countingConn{Conn: conn, address: address, count: c.count})
 }
 
-func (c *Connector) open(ctx context.Context, address string) (drpcpool.Conn, error) {
+func (c *Connector) open(ctx context.Context, address string) (*conn, error) {
 	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connecting to %s: %w", address, err)
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: Options()}), nil
+	tracked := &socket{Conn: raw, now: c.now}
+	return &conn{
+		Conn:   drpcconn.NewWithOptions(tracked, drpcconn.Options{Manager: Options()}),
+		socket: tracked,
+		silent: func(since time.Duration) { c.dropSilent(address, since) },
+	}, nil
 }
 
 // Close closes all idle connections.
--- a/transport/connector/connector_test.go
+++ b/transport/connector/connector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/standins/muter"
 	"github.com/foxtailhall/foxtailhall/transport/connector"
 )
 
@@ -33,10 +35,13 @@
 	return stream.Send(frame)
 }
 
-func servePeer(t *testing.T) string {
+// servePeer serves a peer and returns its address, and the listener that can make its
+// connections go silent.
+func servePeer(t *testing.T) (string, *muter.Listener) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	listener := &muter.Listener{Listener: raw}
 	mux := drpcmux.New()
 	require.NoError(t, messenger.DRPCRegisterGuard(mux, &peer{}))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -49,18 +54,18 @@
 		cancel()
 		<-done
 	})
-	return listener.Addr().String()
+	return listener.Addr().String(), listener
 }
 
 func TestMessagesAreCounted(t *testing.T) {
-	address := servePeer(t)
+	address, _ := servePeer(t)
 	var mu sync.Mutex
 	counted := map[string]int{}
 	pool := connector.New(nil, func(to, method string, bytes int) {
 		mu.Lock()
 		defer mu.Unlock()
 		counted[to+" "+method] += bytes
-	})
+	}, nil)
 	t.Cleanup(func() { require.NoError(t, pool.Close()) })
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
@@ -83,3 +88,77 @@
 		address + " Forward": 2 * proto.Size(frame),
 	}, counted)
 }
+
+// resolve makes one call within a time limit.
+func resolve(pool *connector.Connector, address string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_, err := pool.GuardClient(ctx, address).Resolve(ctx, &messenger.ResolveRequest{Attempt: make([]byte, 16)})
+	return err
+}
+
+// openStreams opens streams side by side, so that each needs a connection of its own, and
+// ends them. It leaves the connections idle.
+func openStreams(t *testing.T, pool *connector.Connector, address string, count int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	streams := make([]messenger.DRPCGuard_ForwardClient, 0, count)
+	for range count {
+		stream, err := pool.GuardClient(ctx, address).Forward(ctx)
+		require.NoError(t, err)
+		require.NoError(t, stream.Send(&messenger.Frame{Part: &messenger.Frame_End{End: true}}))
+		streams = append(streams, stream)
+	}
+	for _, stream := range streams {
+		_, err := stream.Recv()
+		require.NoError(t, err)
+		_, err = stream.Recv()
+		require.ErrorIs(t, err, io.EOF, "the peer ends the stream")
+		require.NoError(t, stream.Close())
+		<-stream.Context().Done()
+	}
+}
+
+// TestSilentConnectionsAreNotUsedAgain guards against a peer that no call reaches, although
+// new connections to it work, because a cancelled call leaves its silent connection to the next.
+func TestSilentConnectionsAreNotUsedAgain(t *testing.T) {
+	const idle = 4
+	t.Run("AfterOneUnansweredCall", func(t *testing.T) {
+		address, connections := servePeer(t)
+		pool := connector.New(nil, nil, nil)
+		t.Cleanup(func() { _ = pool.Close() })
+		openStreams(t, pool, address, idle)
+		require.Equal(t, idle, connections.Mute())
+
+		require.Error(t, resolve(pool, address, 200*time.Millisecond))
+		require.NoError(t, resolve(pool, address, 10*time.Second))
+	})
+	t.Run("AfterOneUnansweredStream", func(t *testing.T) {
+		address, connections := servePeer(t)
+		dropped := make(chan int, 1)
+		pool := connector.New(nil, nil, func(_ string, _ time.Duration, idleClosed int) { dropped <- idleClosed })
+		t.Cleanup(func() { _ = pool.Close() })
+		openStreams(t, pool, address, idle)
+		require.Equal(t, idle, connections.Mute())
+
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		t.Cleanup(cancel)
+		stream, err := pool.GuardClient(ctx, address).Forward(ctx)
+		require.NoError(t, err)
+		_, err = stream.Recv()
+		require.Error(t, err)
+		require.Equal(t, idle-1, <-dropped)
+		require.NoError(t, resolve(pool, address, 10*time.Second))
+	})
+	t.Run("NotAfterAnsweredOnes", func(t *testing.T) {
+		address, connections := servePeer(t)
+		pool := connector.New(nil, nil, nil)
+		t.Cleanup(func() { _ = pool.Close() })
+		for range idle {
+			openStreams(t, pool, address, 1)
+			require.NoError(t, resolve(pool, address, 10*time.Second))
+		}
+		require.Equal(t, 1, connections.Mute())
+	})
+}
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -141,6 +141,12 @@
 	r.deps.Meter.CountPeerBytes(method, relation, bytes)
 }
 
+// recordSilence records a connection that was closed since nothing arrived on it during a call.
+func (r *Runner) recordSilence(address string, after time.Duration, idleClosed int) {
+	r.deps.Log.Info("ConnectionSilent", "Peer", address, "AfterMs", after.Milliseconds(), "IdleClosed", idleClosed)
+	r.deps.Meter.CountEvent("ConnectionSilent")
+}
+
 // recordContact records that the path to a member works in both directions.
 func (r *Runner) recordContact(incarnation uint64) {
 	if server := r.trackedServer(incarnation); server != nil {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -135,7 +135,7 @@
 		leaveRequested:  make(chan struct{}),
 		stopped:         make(chan struct{}),
 	}
-	r.connector = connector.New(sourceIP(deps.Settings.PeerListen), r.countPeerBytes)
+	r.connector = connector.New(sourceIP(deps.Settings.PeerListen), r.countPeerBytes, r.recordSilence)
 	r.incarnation = uint64(r.started.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
 	logState := publisher.New(deps.Parser)
 	r.logState.Store(&logState)
