connector: Probe the connections between processes

Callers waited out a request's whole time limit when the connection between two processes went silent while the request ran: no reset shows it, and the operating system probed after 15 s. An idle connection was only found silent by the next call that used it.

Change: both ends probe after a second without data and fail a connection after 3 s, or after 3 s with unacknowledged data. The attempt then counts as lost: a request that may run again is sent again, the outcome of another is asked for on a new connection.

--- a/transport/connector/connector.go
+++ b/transport/connector/connector.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/transport/dialer"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// maxIdlePerGuard bounds the idle connections to one guard.
 	maxIdlePerGuard = 32
 	dialTimeout     = time.Second
+	// silence is how long a connection to another process may be silent before the call on
+	// it fails. Two probes are lost in that time, so that lossy paths rarely break a call.
+	silence = 3 * time.Second
 	// MaxMessageBytes bounds one message between processes.
 	MaxMessageBytes = 80 << 20
 )
@@ -55,17 +59,13 @@
 // count, unless it is nil, is told the length of each message, and silent of each
 // connection that is given up since nothing arrives on it.
 func New(source net.IP, count ByteCounter, silent SilenceObserver) *Connector {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if source != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: source}
-	}
 	start := time.Now()
 	return &Connector{
 		pool: drpcpool.New[string, *conn](drpcpool.Options{
 			Expiration:  idleExpiry,
 			KeyCapacity: maxIdlePerGuard,
 		}),
-		dial:   dialer.DialContext,
+		dial:   dialer.New(source, dialTimeout, silence).DialContext,
 		now:    func() time.Duration { return time.Since(start) },
 		count:  count,
 		silent: silent,
@@ -95,6 +95,15 @@
 	}, nil
 }
 
+// Listen listens on an IP:port for connections of other processes' connectors.
+func Listen(address string) (net.Listener, error) {
+	listener, err := dialer.Listen(address, silence)
+	if err != nil {
+		return nil, fmt.Errorf("listening for other processes: %w", err)
+	}
+	return listener, nil
+}
+
 // Close closes all idle connections.
 func (c *Connector) Close() error {
 	if err := c.pool.Close(); err != nil {
--- a/transport/connector/connector_test.go
+++ b/transport/connector/connector_test.go
@@ -32,7 +32,14 @@
 	if err != nil {
 		return err
 	}
-	return stream.Send(frame)
+	if err := stream.Send(frame); err != nil {
+		return err
+	}
+	if frame.GetEnd() {
+		return nil
+	}
+	<-stream.Context().Done()
+	return stream.Context().Err()
 }
 
 // servePeer serves a peer and returns its address, and the listener that can make its
@@ -162,3 +169,26 @@
 		require.Equal(t, 1, connections.Mute())
 	})
 }
+
+// TestRunningCallsEndAfterSilence guards against requests that wait out their whole time
+// limit for an answer on a connection that went silent while the request ran.
+func TestRunningCallsEndAfterSilence(t *testing.T) {
+	// The connection has to fail after 3 s; the operating system's timers count in seconds.
+	const detected = 4 * time.Second
+	address, connections := servePeer(t)
+	pool := connector.New(nil, nil, nil)
+	t.Cleanup(func() { _ = pool.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	stream, err := pool.GuardClient(ctx, address).Forward(ctx)
+	require.NoError(t, err)
+	require.NoError(t, stream.Send(&messenger.Frame{Part: &messenger.Frame_Data{Data: make([]byte, 10)}}))
+	_, err = stream.Recv()
+	require.NoError(t, err)
+
+	require.Equal(t, 1, connections.Mute())
+	muted := time.Now()
+	_, err = stream.Recv()
+	require.Error(t, err)
+	require.Less(t, time.Since(muted), detected)
+}
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -286,9 +286,9 @@
 // Run serves until the context is done or Leave is called. It then performs a
 // planned stop, in which requests in flight may finish until the StopLimit.
 func (r *Runner) Run(ctx context.Context) error {
-	peers, err := net.Listen("tcp", r.deps.Settings.PeerListen)
+	peers, err := connector.Listen(r.deps.Settings.PeerListen)
 	if err != nil {
-		return fmt.Errorf("listening for other processes: %w", err)
+		return fmt.Errorf("starting: %w", err)
 	}
 	if err := r.router.Listen(); err != nil {
 		return fmt.Errorf("starting: %w", err)
