router: Answer 502 where the answer of a run was lost

A conflict exists only for a key that is used again; a request without a key collides with nothing.

Cause: the probes end an attempt whose connection went silent, and the guard, asked on a new connection, says that the run has ended.

The outcome in the header stays Ran.

--- a/transport/router/handle.go
+++ b/transport/router/handle.go
@@ -96,7 +96,11 @@
 		if step == retrier.StepResolve {
 			step = history.AfterResolve(r.resolve(ctx, request, outcome))
 		}
-		if step != retrier.StepRetry {
+		switch step {
+		case retrier.StepRetry:
+		case retrier.StepRan:
+			return nil, answerLost(outcome.reason)
+		default:
 			return conclude(ctx, step, &outcome)
 		}
 	}
--- a/transport/router/respond.go
+++ b/transport/router/respond.go
@@ -53,6 +53,12 @@
 	return &refusal{status: consts.StatusConflict, outcome: answerer.OutcomeRan, reason: reason}
 }
 
+// answerLost returns the refusal of a request without a key that ran and whose answer is
+// lost. Nothing is in conflict with it: the caller learns that a gateway lost the answer.
+func answerLost(reason string) *refusal {
+	return &refusal{status: consts.StatusBadGateway, outcome: answerer.OutcomeRan, reason: reason}
+}
+
 // refuse returns the answer for a refused request, and logs and counts the request.
 func (r *Router) refuse(request *callerRequest, refused refusal) *protocol.Response {
 	response := r.refusalResponse(request.id, refused)
