guard, pacer: Give a server no more requests than the limit it names

Cause: nobody read the limit. A limited server has free slots, so that routers preferred it to full ones. Limits at the routers were ruled out: the limit is one for all of them.

Change: the adapter reads the limit, and the guard, which alone hands requests to its server, paces them (coordination/pacer, a token bucket with the rate that the last answer named; an answer without a limit lifts it, a new run begins without one). What exceeds it is refused at once, not run, also where the router insists, with the time until the server takes the next, so that routers ask others first. Lines ServerLimited and ServerLimitLifted.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -8,6 +8,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/breaker"
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/limiter"
+	"github.com/foxtailhall/foxtailhall/coordination/pacer"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
 )
 
@@ -25,6 +26,8 @@
 	ReasonBusy Reason = "Busy"
 	// ReasonDoubtful means that the breaker is open.
 	ReasonDoubtful Reason = "Doubtful"
+	// ReasonLimited means that the server takes no more requests at the moment.
+	ReasonLimited Reason = "Limited"
 	// ReasonNoBudget means that the retry budget is used up.
 	ReasonNoBudget Reason = "NoBudget"
 )
@@ -53,13 +56,15 @@
 type Admitter struct {
 	Limiter *limiter.Limiter
 	Breaker *breaker.Breaker
+	// Pacer holds the limit that the server itself has named.
+	Pacer *pacer.Pacer
 	// Budget bounds the retries that reach the backend server.
 	Budget *retrier.Budget
 }
 
 // New returns an admitter without slots, whose breaker never opens and whose budget is empty.
 func New() *Admitter {
-	return &Admitter{Limiter: limiter.New(0, 0), Breaker: breaker.New(0), Budget: retrier.New(0)}
+	return &Admitter{Limiter: limiter.New(0, 0), Breaker: breaker.New(0), Pacer: &pacer.Pacer{}, Budget: retrier.New(0)}
 }
 
 // Admit starts or queues an attempt, or returns why it is refused.
@@ -67,10 +72,15 @@
 	if !attempt.Insist && !a.Limiter.HasFreeSlot() {
 		return 0, ReasonBusy
 	}
+	if !a.Pacer.Take(now) {
+		return 0, ReasonLimited
+	}
 	if !a.Breaker.Allow(now, attempt.Idempotent, attempt.Insist) {
+		a.Pacer.Return()
 		return 0, ReasonDoubtful
 	}
 	if !a.takeRetryBudget(now, attempt) {
+		a.Pacer.Return()
 		return 0, ReasonNoBudget
 	}
 	decision := a.Limiter.AdmitRanked(now, limiter.Request{
@@ -79,7 +89,7 @@
 	if decision == limiter.Started || decision == limiter.Queued {
 		return decision, ""
 	}
-	a.ReturnRetryBudget(attempt)
+	a.Return(attempt)
 	return 0, Reason(decision.String())
 }
 
@@ -103,9 +113,10 @@
 // retry, which is refused when the budget is overdrawn.
 const likelyDerived = 0.5
 
-// ReturnRetryBudget reverts what an attempt took from the budget or added to it. It is
-// called for an admitted attempt that is not sent to the server.
-func (a *Admitter) ReturnRetryBudget(attempt Attempt) {
+// Return reverts what an attempt took from the server's limit and the retry budget, or
+// added to it. It is called for an admitted attempt that is not sent to the server.
+func (a *Admitter) Return(attempt Attempt) {
+	a.Pacer.Return()
 	if attempt.Retry {
 		if !attempt.Funded {
 			a.Budget.Refund()
--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -55,6 +55,22 @@
 		a.Breaker.RecordFailure(at(0), breaker.WeightCertain)
 		requireRefused(t, a, attempt(1), admitter.ReasonDoubtful)
 	})
+	t.Run("LimitsHoldForInsistingAttempts", func(t *testing.T) {
+		a := oneSlot()
+		a.Pacer.SetLimit(at(0), 1)
+		insisting := attempt(1)
+		insisting.Insist = true
+		requireRefused(t, a, insisting, admitter.ReasonLimited)
+	})
+	t.Run("RefusedAttemptsDoNotCountAgainstTheLimit", func(t *testing.T) {
+		a := oneSlot()
+		a.Pacer.SetLimit(at(0), 1)
+		retry := attempt(1)
+		retry.Retry = true
+		_, reason := a.Admit(at(time.Second), retry)
+		require.Equal(t, admitter.ReasonNoBudget, reason)
+		require.True(t, a.Pacer.Take(at(time.Second)))
+	})
 	t.Run("RetriesTakeFromTheBudget", func(t *testing.T) {
 		a := oneSlot()
 		retry := attempt(1)
@@ -72,7 +88,7 @@
 		funded := attempt(1)
 		funded.Retry, funded.Funded = true, true
 		requireAdmitted(t, sound, funded, limiter.Started)
-		sound.ReturnRetryBudget(funded)
+		sound.Return(funded)
 		unfunded := attempt(2)
 		unfunded.Retry = true
 		requireRefused(t, sound, unfunded, admitter.ReasonBusy)
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -77,6 +77,10 @@
 	Unsealed bool
 	// IdleTimeout is how long the server keeps an idle connection; 0 if it doesn't say.
 	IdleTimeout time.Duration
+	// Limit is the number of requests a second that the server takes from all processes
+	// together, if Limited is set. It applies until an answer names another one or none.
+	Limit   float64
+	Limited bool
 }
 
 // Servers writes and reads the headers that backend servers receive and send.
--- a/standins/emulator/guard.go
+++ b/standins/emulator/guard.go
@@ -74,7 +74,7 @@
 	}
 	delete(g.queued, a.ID)
 	g.admitter.Limiter.Remove(a.ID)
-	g.admitter.ReturnRetryBudget(a.Attempt)
+	g.admitter.Return(a.Attempt)
 	g.refuse(a, admitter.ReasonBusy)
 }
 
@@ -124,7 +124,7 @@
 	for _, id := range refused {
 		if waiting, ok := g.queued[id]; ok {
 			delete(g.queued, id)
-			g.admitter.ReturnRetryBudget(waiting.Attempt)
+			g.admitter.Return(waiting.Attempt)
 			g.refuse(waiting, admitter.ReasonBusy)
 		}
 	}
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -19,6 +19,7 @@
 	reasonBusy     = string(admitter.ReasonBusy)
 	reasonDoubtful = string(admitter.ReasonDoubtful)
 	reasonNoBudget = string(admitter.ReasonNoBudget)
+	reasonLimited  = string(admitter.ReasonLimited)
 	// reasonLeaving means that the server is shutting down, gone or not announced.
 	reasonLeaving = "Leaving"
 	reasonEjected = "Ejected"
@@ -174,7 +175,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.withdrawAttempt(work)
-	g.admitter.ReturnRetryBudget(work.admission())
+	g.admitter.Return(work.admission())
 	reason := g.unavailableReason()
 	if reason == "" {
 		reason = reasonQueueTimeout
@@ -271,7 +272,7 @@
 func (g *Guard) withdrawOffer(work *task, cause error) {
 	g.mu.Lock()
 	g.withdrawAttempt(work)
-	g.admitter.ReturnRetryBudget(work.admission())
+	g.admitter.Return(work.admission())
 	g.mu.Unlock()
 	g.deps.Log.Info("OfferAbandoned", "Request", work.head.RequestId, "Error", cause)
 }
--- a/transport/guard/announcement.go
+++ b/transport/guard/announcement.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxtailhall/foxtailhall/coordination/breaker"
 	"github.com/foxtailhall/foxtailhall/coordination/controller"
+	"github.com/foxtailhall/foxtailhall/coordination/pacer"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 )
 
@@ -96,6 +97,7 @@
 	}
 	g.forwarder.SetAddress(announcement.Address)
 	g.admitter.Breaker = breaker.New(g.policy.FailurePause)
+	g.admitter.Pacer = &pacer.Pacer{}
 	if err := g.controller.Announce(now, g.controllerConfig()); err != nil {
 		return false, fmt.Errorf("starting a new run: %w", err)
 	}
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -118,6 +118,10 @@
 	}
 	inFlight, waiting := g.Load()
 	avoid, avoidNonIdempotent := g.Avoidance()
+	if refused.reason == reasonLimited {
+		wait := g.limitWait()
+		avoid, avoidNonIdempotent = max(avoid, wait), max(avoidNonIdempotent, wait)
+	}
 	return send(stream, &messenger.Frame{Part: &messenger.Frame_Verdict{Verdict: &messenger.Verdict{
 		Outcome:  uint32(outcome),
 		Reason:   refused.reason,
@@ -191,6 +195,7 @@
 		return g.handleFailure(ctx, stream, work, err)
 	}
 	defer exchange.Close()
+	g.recordStatements(work, info)
 	if info.NotRun {
 		return g.handleNotRun(stream, work, exchange, info)
 	}
--- /dev/null
+++ b/transport/guard/statement.go
@@ -0,0 +1,36 @@
+package guard
+
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
+)
+
+// recordStatements applies what the server's answer says of the server itself: how many
+// requests a second it takes. An answer without a limit lifts the last one. Answers of
+// other runs say nothing about the current one.
+func (g *Guard) recordStatements(work *task, info interpreter.AnswerInfo) {
+	if info.OtherInstance {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if work.run != g.lastAnnouncement.Run {
+		return
+	}
+	pace := g.admitter.Pacer
+	if info.Limited && pace.SetLimit(g.deps.Now(), info.Limit) {
+		g.deps.Log.Info("ServerLimited", "Request", work.head.RequestId, "Service", work.head.Service,
+			"Run", work.run, "PerSecond", info.Limit)
+	}
+	if !info.Limited && pace.Lift() {
+		g.deps.Log.Info("ServerLimitLifted", "Request", work.head.RequestId, "Service", work.head.Service, "Run", work.run)
+	}
+}
+
+// limitWait returns the time until the server's own limit lets it take another request.
+func (g *Guard) limitWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitter.Pacer.Wait(g.deps.Now())
+}
--- /dev/null
+++ b/transport/guard/statement_test.go
@@ -0,0 +1,174 @@
+package guard_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
+	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/transport/guard"
+)
+
+// needyServer is a backend server that can name a limit, with the guard before it. The
+// guard's clock advances with each attempt.
+type needyServer struct {
+	guard *guard.Guard
+	clock atomic.Int64
+	// limit is the value of the header X-Limit, "" for none.
+	limit    atomic.Value
+	arrivals atomic.Int64
+}
+
+func newNeedyServer(t *testing.T) *needyServer {
+	t.Helper()
+	s := &needyServer{}
+	s.limit.Store("")
+	served := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.arrivals.Add(1)
+		if limit, _ := s.limit.Load().(string); limit != "" {
+			w.Header().Set("X-Limit", limit)
+		}
+	}))
+	t.Cleanup(served.Close)
+	s.guard = guard.New(guard.Dependencies{
+		Incarnation: 1,
+		Log:         slog.New(slog.DiscardHandler),
+		Now: func() clocker.Instant {
+			return clocker.Instant{Mono: time.Duration(s.clock.Load()), Wall: time.Duration(s.clock.Load())}
+		},
+		Catalog:               func() cataloger.Catalog { return cataloger.New() },
+		OnChange:              func() {},
+		EjectionRoundLifetime: ejector.RoundLifetime,
+		Limits:                deduplicator.Limits{Attempts: 1000, Keys: 1000, KeyLifetime: time.Hour},
+		Servers: interpreter.Servers{
+			Annotate: func(*protocol.RequestHeader, interpreter.RequestInfo) {},
+			Inspect: func(header *protocol.ResponseHeader, _ interpreter.RequestInfo) interpreter.AnswerInfo {
+				limit, err := strconv.ParseFloat(string(header.Peek("X-Limit")), 64)
+				return interpreter.AnswerInfo{Limit: limit, Limited: err == nil}
+			},
+		},
+	})
+	s.announce(t, served.URL, "first")
+	return s
+}
+
+func (s *needyServer) announce(t *testing.T, url, run string) {
+	t.Helper()
+	require.NoError(t, s.guard.Announce(guard.Announcement{
+		Address: strings.TrimPrefix(url, "http://"), Run: run, Service: "billing", Slots: 8,
+	}))
+}
+
+// attemptStream is the stream of one attempt whose router releases it at once.
+type attemptStream struct {
+	drpc.Stream
+	ctx      context.Context //nolint:containedctx // A stream has a context.
+	toGuard  chan *messenger.Frame
+	refused  *messenger.Verdict
+	answered bool
+}
+
+func (s *attemptStream) Context() context.Context { return s.ctx }
+
+func (s *attemptStream) Recv() (*messenger.Frame, error) {
+	select {
+	case frame := <-s.toGuard:
+		return frame, nil
+	case <-s.ctx.Done():
+		return nil, io.EOF
+	}
+}
+
+func (s *attemptStream) Send(frame *messenger.Frame) error {
+	switch verdict := frame.GetVerdict(); {
+	case verdict.GetAdmitted():
+		head := &messenger.RequestHead{
+			Method: http.MethodGet, Uri: "/", Headers: []*messenger.Header{{Name: "Host", Value: "billing.example"}},
+		}
+		s.toGuard <- &messenger.Frame{Part: &messenger.Frame_Request{Request: head}}
+	case verdict != nil:
+		s.refused = verdict
+	case frame.GetAnswer() != nil:
+		s.answered = true
+	}
+	return nil
+}
+
+// attempt sends one attempt, after the clock has advanced, and returns its end.
+func (s *needyServer) attempt(t *testing.T, after time.Duration) *attemptStream {
+	t.Helper()
+	s.clock.Add(int64(after))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	stream := &attemptStream{ctx: ctx, toGuard: make(chan *messenger.Frame, 2)}
+	stream.toGuard <- &messenger.Frame{Part: &messenger.Frame_Request{Request: &messenger.RequestHead{
+		Attempt: make([]byte, 16), Incarnation: 1, Service: "billing", Idempotent: true, Offer: true, Insist: true,
+		BudgetUs: (10 * time.Second).Microseconds(),
+	}}}
+	require.NoError(t, s.guard.Forward(stream))
+	require.True(t, stream.answered != (stream.refused != nil), "an attempt is answered or refused")
+	return stream
+}
+
+// TestLimitedServersGetWhatTheyTake guards against a server that names a limit in its
+// answers and gets far more requests than that.
+func TestLimitedServersGetWhatTheyTake(t *testing.T) {
+	const (
+		step   = 10 * time.Millisecond
+		window = 4 * time.Second
+	)
+	t.Run("WhileItNamesTheLimit", func(t *testing.T) {
+		s := newNeedyServer(t)
+		s.limit.Store("2")
+		s.attempt(t, step)
+		before := s.arrivals.Load()
+		var refused *messenger.Verdict
+		for range int(window / step) {
+			if end := s.attempt(t, step); end.refused != nil {
+				refused = end.refused
+			}
+		}
+		require.NotNil(t, refused)
+		require.Equal(t, "Limited", refused.Reason)
+		require.False(t, refused.Arrived)
+		require.Positive(t, refused.AvoidMs, "routers learn when the server takes requests again")
+		require.InDelta(t, 2*window.Seconds(), s.arrivals.Load()-before, 1.5)
+	})
+	t.Run("NotAfterAnAnswerWithoutIt", func(t *testing.T) {
+		s := newNeedyServer(t)
+		s.limit.Store("2")
+		s.attempt(t, step)
+		s.limit.Store("")
+		require.True(t, s.attempt(t, time.Second).answered)
+		for range 100 {
+			require.True(t, s.attempt(t, step).answered)
+		}
+	})
+	t.Run("NotInItsNextRun", func(t *testing.T) {
+		s := newNeedyServer(t)
+		s.limit.Store("0.5")
+		s.attempt(t, step)
+		require.NotNil(t, s.attempt(t, step).refused)
+		s.limit.Store("")
+		served := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		t.Cleanup(served.Close)
+		s.announce(t, served.URL, "second")
+		require.True(t, s.attempt(t, step).answered)
+	})
+}
