guard, enroller: Retire a server whose answers say that it leaves

Cause: only announcements were read. Where they are late or never come, the server got new work for as long as it answered.

Change: the guard tells the process, which retires the run as after a leave notice, so that later announcements of the same run don't revive it. The ID and the start of the run must be those of the current one: a server may start again under its ID. That also holds for limits.

TestLeavingAnswersRetireTheirRun and TestLeavingAnswersAreReported use calls that did not exist.

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -85,6 +85,16 @@
 	return e, VerdictAnnounced
 }
 
+// WithLeavingAnswer returns the enroller after an answer in which a run says that it is
+// leaving, and VerdictRetired if that is the latest run and was not known to leave.
+func (e Enroller) WithLeavingAnswer(id string, startedMs int64) (Enroller, Verdict) {
+	if id == "" || id != e.latest.ID || startedMs != e.latest.StartedMs || e.latest.Leaving {
+		return e, VerdictStale
+	}
+	e.latest.Leaving = true
+	return e, VerdictRetired
+}
+
 const (
 	// maxClockSkew is how far the start of a run may lie ahead of the own clock.
 	maxClockSkew = time.Hour
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -107,6 +107,34 @@
 // TestNoRunIsRevived generates announcements of several runs in any order and
 // checks that a run that has left is never announced again and that an earlier
 // run never replaces a later one.
+// TestLeavingAnswersRetireTheirRun guards against new work for a server that says in its
+// answers that it leaves, but whose announcement of that is late or never comes.
+func TestLeavingAnswersRetireTheirRun(t *testing.T) {
+	announce := func(t *testing.T, e enroller.Enroller, next enroller.Announcement, want enroller.Verdict) enroller.Enroller {
+		t.Helper()
+		e, verdict := e.WithAnnouncement(next)
+		require.Equal(t, want.String(), verdict.String())
+		return e
+	}
+	t.Run("LaterReadyOnesAreStale", func(t *testing.T) {
+		e := announce(t, enroller.New(address), ready("a", 0, 1), enroller.VerdictAnnounced)
+		e, verdict := e.WithLeavingAnswer("a", epoch)
+		require.Equal(t, enroller.VerdictRetired, verdict)
+		_, verdict = e.WithLeavingAnswer("a", epoch)
+		require.Equal(t, enroller.VerdictStale, verdict)
+		e = announce(t, e, ready("a", 0, 2), enroller.VerdictStale)
+		e = announce(t, e, leaving(ready("a", 0, 3)), enroller.VerdictRetired)
+		announce(t, e, leaveNotice(), enroller.VerdictRetired)
+	})
+	t.Run("TheNextRunIsAnnounced", func(t *testing.T) {
+		e := announce(t, enroller.New(address), ready("a", 0, 1), enroller.VerdictAnnounced)
+		e, _ = e.WithLeavingAnswer("a", epoch)
+		e = announce(t, e, ready("a", 500, 1), enroller.VerdictAnnounced)
+		_, verdict := e.WithLeavingAnswer("a", epoch)
+		require.Equal(t, enroller.VerdictStale, verdict, "an answer of the run before, which had the same ID")
+	})
+}
+
 func TestNoRunIsRevived(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := enroller.New(address)
--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -81,6 +81,8 @@
 	// together, if Limited is set. It applies until an answer names another one or none.
 	Limit   float64
 	Limited bool
+	// Leaving means that the server is shutting down.
+	Leaving bool
 }
 
 // Servers writes and reads the headers that backend servers receive and send.
--- a/transport/guard/admission.go
+++ b/transport/guard/admission.go
@@ -74,6 +74,8 @@
 		origin:   detector.Origin{Caller: head.Caller, Route: head.Route},
 		service:  g.service,
 		run:      g.lastAnnouncement.Run,
+
+		runStartedMs: g.lastAnnouncement.StartedMs,
 	}
 	copy(work.attempt[:], head.Attempt)
 	if refused := g.checkDuplicate(now, work); refused != nil {
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -47,8 +47,10 @@
 	tracked bool
 	origin  detector.Origin
 	service cataloger.Service
-	// run is the backend server's run at the time of admission.
-	run string
+	// run is the backend server's run at the time of admission, and runStartedMs the Unix
+	// time of its start: a later run may have the same ID.
+	run          string
+	runStartedMs int64
 	// sent is the time at which the request was sent to the backend server.
 	sent clocker.Instant
 	// overdue is set once the breaker was told that the response is overdue.
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -50,6 +50,10 @@
 	// OnChange is called after the server's state or slots change. The guard's
 	// lock is not held during the call.
 	OnChange func()
+	// OnLeaving is called with the run of the backend server whose answer says that it is
+	// shutting down, and the Unix time of its start. The guard's lock is not held during
+	// the call.
+	OnLeaving func(run string, startedMs int64)
 	// Limits bounds the memory for attempts and idempotency keys.
 	Limits deduplicator.Limits
 	// Servers reads and writes the header fields exchanged with the backend server.
--- a/transport/guard/statement.go
+++ b/transport/guard/statement.go
@@ -7,15 +7,23 @@
 )
 
 // recordStatements applies what the server's answer says of the server itself: how many
-// requests a second it takes. An answer without a limit lifts the last one. Answers of
-// other runs say nothing about the current one.
+// requests a second it takes, and that it is shutting down. Answers of other runs say
+// nothing about the current one.
 func (g *Guard) recordStatements(work *task, info interpreter.AnswerInfo) {
 	if info.OtherInstance {
 		return
 	}
+	g.recordLimit(work, info)
+	if info.Leaving {
+		g.deps.OnLeaving(work.run, work.runStartedMs)
+	}
+}
+
+// recordLimit applies the limit that an answer names. An answer without one lifts the last.
+func (g *Guard) recordLimit(work *task, info interpreter.AnswerInfo) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if work.run != g.lastAnnouncement.Run {
+	if work.run != g.lastAnnouncement.Run || work.runStartedMs != g.lastAnnouncement.StartedMs {
 		return
 	}
 	pace := g.admitter.Pacer
--- a/transport/guard/statement_test.go
+++ b/transport/guard/statement_test.go
@@ -33,6 +33,10 @@
 	// limit is the value of the header X-Limit, "" for none.
 	limit    atomic.Value
 	arrivals atomic.Int64
+	// leaving is set while the server says that it leaves, and left holds the runs that
+	// the guard was told of.
+	leaving atomic.Bool
+	left    []string
 }
 
 func newNeedyServer(t *testing.T) *needyServer {
@@ -44,6 +48,9 @@
 		if limit, _ := s.limit.Load().(string); limit != "" {
 			w.Header().Set("X-Limit", limit)
 		}
+		if s.leaving.Load() {
+			w.Header().Set("X-Leaving", "1")
+		}
 	}))
 	t.Cleanup(served.Close)
 	s.guard = guard.New(guard.Dependencies{
@@ -54,13 +61,14 @@
 		},
 		Catalog:               func() cataloger.Catalog { return cataloger.New() },
 		OnChange:              func() {},
+		OnLeaving:             func(run string, _ int64) { s.left = append(s.left, run) },
 		EjectionRoundLifetime: ejector.RoundLifetime,
 		Limits:                deduplicator.Limits{Attempts: 1000, Keys: 1000, KeyLifetime: time.Hour},
 		Servers: interpreter.Servers{
 			Annotate: func(*protocol.RequestHeader, interpreter.RequestInfo) {},
 			Inspect: func(header *protocol.ResponseHeader, _ interpreter.RequestInfo) interpreter.AnswerInfo {
 				limit, err := strconv.ParseFloat(string(header.Peek("X-Limit")), 64)
-				return interpreter.AnswerInfo{Limit: limit, Limited: err == nil}
+				return interpreter.AnswerInfo{Limit: limit, Limited: err == nil, Leaving: len(header.Peek("X-Leaving")) > 0}
 			},
 		},
 	})
@@ -172,3 +180,14 @@
 		require.True(t, s.attempt(t, step).answered)
 	})
 }
+
+// TestLeavingAnswersAreReported guards against new work for a server that says in its
+// answers that it leaves.
+func TestLeavingAnswersAreReported(t *testing.T) {
+	s := newNeedyServer(t)
+	s.attempt(t, time.Millisecond)
+	require.Empty(t, s.left)
+	s.leaving.Store(true)
+	require.True(t, s.attempt(t, time.Millisecond).answered, "the answer itself is passed on")
+	require.Equal(t, []string{"first"}, s.left)
+}
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -36,6 +36,22 @@
 	return nil
 }
 
+// handleLeavingAnswer retires a run whose answers say that it is shutting down, whether or
+// not its announcement of that arrives.
+func (r *Runner) handleLeavingAnswer(run string, startedMs int64) {
+	r.announcementMu.Lock()
+	defer r.announcementMu.Unlock()
+	next, verdict := r.enroller.WithLeavingAnswer(run, startedMs)
+	r.enroller = next
+	if verdict != enroller.VerdictRetired {
+		return
+	}
+	r.deps.Log.Info("LeavingAnswer", "Run", run)
+	if err := r.guard.Retire(run); err != nil {
+		r.deps.Log.Error("RetireFailed", "Run", run, "Error", err)
+	}
+}
+
 // maxJoinWait is how long a starting process that knows no peer waits before it
 // reports ready.
 const maxJoinWait = 1500 * time.Millisecond
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -184,6 +184,7 @@
 		Now:                   r.now,
 		Catalog:               r.catalog,
 		OnChange:              r.updateMemberStatus,
+		OnLeaving:             r.handleLeavingAnswer,
 		EjectionRoundLifetime: ejector.RoundLifetime,
 		Servers:               r.deps.Servers,
 		Limits: deduplicator.Limits{
