forwarder: Test heads that end early

A report from elsewhere: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body. It can't happen here: each cut of four heads, byte by byte, is an error (TestHeadsThatEndEarlyAreNoAnswer). No change of the code.

--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -192,6 +192,32 @@
 	})
 }
 
+// TestHeadsThatEndEarlyAreNoAnswer guards against a success with an empty or short body for a
+// server that stopped in the middle of its answer's head and closed.
+func TestHeadsThatEndEarlyAreNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"ByLength": "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nContent-Length: 20\r\n\r\n",
+		"ByChunks": "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"ByClose":  "HTTP/1.1 200 OK\r\nId: a\r\nSeal: x\r\nConnection: close\r\n\r\n",
+		"BareLF":   "HTTP/1.1 200 OK\nId: a\nSeal: x\nContent-Length: 20\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for cut := range len(head) {
+				s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+					if _, ok := readRequest(in); ok {
+						_, _ = io.WriteString(conn, head[:cut])
+					}
+				})
+				exchange, err := send(t, s.forwarder(), "a", nil, 0)
+				if err == nil {
+					exchange.Close()
+				}
+				require.Error(t, err, "head ends after %q", head[:cut])
+			}
+		})
+	}
+}
+
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	s := serve(t, func(conn net.Conn, in *bufio.Reader) {
 		_, err := http.ReadRequest(in)
