stopper: Refuse requests early in a stop with a long limit

A report from elsewhere: in a planned stop, in calm, requests that came late in the grace time were taken, passed on and cut at its end (LOST).

Cause here: new requests were accepted for 0.45 of the limit. With a limit of 10 s that is 4.5 s after the stop was asked for, long after callers had 2 s to find other processes; a request that then runs longer than expected is cancelled at 9.3 s with a server at work.

TestStop/RefusesInTimeWithALongLimit failed before.

--- a/transport/runner/stop.go
+++ b/transport/runner/stop.go
@@ -38,7 +38,7 @@
 func (r *Runner) stop(ctx context.Context) {
 	r.deps.Log.Info("Stopping", "Incarnation", r.incarnation, "Active", r.router.Active())
 	r.stopRequestedAt.CompareAndSwap(0, int64(r.now().Mono))
-	stop := stopper.New(r.now().Mono, r.settings.Load().StopLimit)
+	stop := stopper.New(r.now().Mono, r.settings.Load().StopLimit, r.settings.Load().StopGrace)
 	r.plannedStop.Store(&stop)
 	r.stopping.Store(true)
 	if r.deps.Source != nil {
