soaker, relayer: Silence connections

The soak healed each cut with a reset, so that no connection stayed silent after it. Silence makes all open connections to a VM's process silent, with probes unanswered, while new ones work. Silences are drawn apart from the other events, so that kept seeds draw what they drew before.

--- a/standins/relayer/relayer.go
+++ b/standins/relayer/relayer.go
@@ -1,5 +1,5 @@
 // Package relayer is a TCP relay that simulates network faults: it can drop traffic
-// in one direction only, delay it, and reset connections.
+// in one direction only, delay it, and reset or silence connections.
 package relayer
 
 import (
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/foxtailhall/foxtailhall/standins/muter"
 )
 
 // Cut is a pair of IP addresses between which traffic is dropped in one direction.
@@ -110,7 +112,20 @@
 	}
 }
 
-// track adds sockets to those that Reset closes. The returned function removes them.
+// Silence makes all open connections go silent: each end keeps its socket, but nothing
+// arrives any more, and no reset. New connections work.
+func (r *Relayer) Silence() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.connections {
+		if err := muter.Mute(conn); err != nil {
+			return fmt.Errorf("silencing a connection: %w", err)
+		}
+	}
+	return nil
+}
+
+// track adds sockets to those that Reset and Silence affect. The returned function removes them.
 func (r *Relayer) track(conns ...net.Conn) (untrack func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standins/soaker/plan.go
+++ b/standins/soaker/plan.go
@@ -13,7 +13,7 @@
 
 // Kinds of events. Those whose value starts with Store affect the metadata store, and
 // those whose value starts with Server affect a VM's backend server. KindCutOneWay,
-// KindCutBoth, KindReset and KindDelay affect a VM's links to its peers.
+// KindCutBoth, KindReset, KindSilence and KindDelay affect a VM's links to its peers.
 const (
 	KindKill             Kind = "Kill"
 	KindPause            Kind = "Pause"
@@ -28,6 +28,7 @@
 	KindCutOneWay        Kind = "CutOneWay"
 	KindCutBoth          Kind = "CutBoth"
 	KindReset            Kind = "Reset"
+	KindSilence          Kind = "Silence"
 	KindDelay            Kind = "Delay"
 	KindErrors           Kind = "ServerErrors"
 	KindShed             Kind = "ServerSheds"
@@ -38,6 +39,8 @@
 	KindPublish          Kind = "Publish"
 )
 
+// kinds are the kinds that a plan draws from; silences are drawn separately, so that a
+// seed still draws the events that it drew before there were any.
 var kinds = []Kind{
 	KindKill, KindPause, KindStop, KindReload, KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLostReplies,
 	KindStoreTruncate, KindStoreRefuse, KindCutOneWay, KindCutBoth, KindReset, KindDelay, KindErrors, KindShed,
@@ -94,6 +97,22 @@
 		length := min(time.Duration(random.Int64N(int64(maxEventLength))), activeTime-at)
 		plan = append(plan, Event{At: at, Length: length, Kind: kinds[random.IntN(len(kinds))], VM: random.IntN(vms)})
 	}
+	plan = append(plan, drawSilences(seed, activeTime, vms)...)
 	sort.Slice(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
 	return plan
 }
+
+// silencesPerSecond is the mean rate of silences.
+const silencesPerSecond = 0.2
+
+// drawSilences draws the events that silence the connections of a VM.
+func drawSilences(seed uint64, activeTime time.Duration, vms int) Plan {
+	random := rand.New(rand.NewPCG(seed, ^seed)) //nolint:gosec // plans must repeat
+	count := int(silencesPerSecond * activeTime.Seconds())
+	silences := make(Plan, 0, count)
+	for range count {
+		at := time.Duration(random.Int64N(int64(activeTime)))
+		silences = append(silences, Event{At: at, Kind: KindSilence, VM: random.IntN(vms)})
+	}
+	return silences
+}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -189,7 +189,7 @@
 		}
 	case KindDrain:
 		go f.replaceServer(ctx, v)
-	case KindCutOneWay, KindCutBoth, KindReset, KindDelay:
+	case KindCutOneWay, KindCutBoth, KindReset, KindSilence, KindDelay:
 		return f.injectLinkFault(event, v)
 	case KindErrors, KindShed, KindSlow, KindLostAnswers, KindNoHeartbeats:
 		return f.injectServerFault(event, v)
@@ -205,6 +205,11 @@
 	case KindReset:
 		v.relay.Reset()
 		return nil
+	case KindSilence:
+		if err := v.relay.Silence(); err != nil {
+			f.checker.addViolation("Silence", err.Error())
+		}
+		return nil
 	case KindDelay:
 		v.relay.SetDelay(40 * time.Millisecond)
 		return func() { v.relay.SetDelay(0) }
--- a/standins/soaker/versions.go
+++ b/standins/soaker/versions.go
@@ -35,6 +35,9 @@
 	from, to time.Time
 }
 
+// silenceDetected is the time after which no process uses a connection that went silent.
+const silenceDetected = 3 * time.Second
+
 // allVMs is the VM of a disturbance of the store.
 const allVMs = -1
 
@@ -46,6 +49,8 @@
 		return allVMs, e.Length, true
 	case KindStop:
 		return e.VM, stopLimit + restartDelay, true
+	case KindSilence:
+		return e.VM, silenceDetected, true
 	case KindKill, KindPause, KindCutOneWay, KindCutBoth, KindReset, KindDelay:
 		return e.VM, e.Length + restartDelay, true
 	default:
