platform: Believe a refusal only of the request that it names

A report from elsewhere: a server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for a request that ran, or it ran at a second server.

Cause here: a refusal without the request's ID counted as one of the current request. One with another ID was skipped already (TestRepeatedRefusalsAreSkipped held before).

Change: without the ID the outcome is unknown.

--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -73,8 +73,9 @@
 	IDMismatch bool
 	// IDEchoed means that the answer has the ID of the request.
 	IDEchoed bool
-	// Unsealed means that a successful answer lacks the proof that the server itself produced it.
-	Unsealed bool
+	// Unproven means that a successful answer lacks the proof that the server itself produced
+	// it, or a refusal the proof that it is of this request and not of an earlier one.
+	Unproven bool
 	// IdleTimeout is how long the server keeps an idle connection; 0 if it doesn't say.
 	IdleTimeout time.Duration
 	// Limit is the number of requests a second that the server takes from all processes
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -144,6 +144,24 @@
 	requireBody(t, s.forwarder(), "a", "right")
 }
 
+// TestRepeatedRefusalsAreSkipped guards against "not run" for a request that a server runs, when
+// the server writes an earlier refusal once more on a kept connection.
+func TestRepeatedRefusalsAreSkipped(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: a\r\nRefused: 1\r\nContent-Length: 4\r\n\r\nfull"
+	s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		if _, ok := readRequest(in); ok {
+			_, _ = io.WriteString(conn, refusal)
+		}
+		if _, ok := readRequest(in); ok {
+			_, _ = io.WriteString(conn, refusal+"HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\nran")
+		}
+	})
+	f := s.forwarder()
+	requireBody(t, f, "a", "full")
+	requireBody(t, f, "b", "ran")
+	require.Len(t, s.connections, 1, "both requests used one connection")
+}
+
 func TestBodiesThatEndWithTheConnection(t *testing.T) {
 	s := serve(t, func(conn net.Conn, in *bufio.Reader) {
 		if _, ok := readRequest(in); ok {
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -190,7 +190,7 @@
 // n is the number of body bytes read so far; ended is set if they are the whole body.
 func violation(work *task, exchange *forwarder.Exchange, info interpreter.AnswerInfo, n int, ended bool) string {
 	response := exchange.Response
-	if info.Unsealed {
+	if info.Unproven {
 		return "Unproven"
 	}
 	if response.StatusCode() != okStatus {
