router: Hedge at another server

Suspected cause: a hedge picked anew among all servers, that of the pending attempt included. Two attempts at one server have the same ID, so that a late copy of the first answer counts as that of the second. Such a hedge brings nothing either: it waits behind the same fault.

Change: a hedge leaves out the server of the pending attempt. TestHedgesGoToAnotherServer failed before.

--- a/transport/router/race.go
+++ b/transport/router/race.go
@@ -17,6 +17,8 @@
 	pending int
 	// cancels holds one function per attempt, in the order of their launch.
 	cancels []context.CancelFunc
+	// lastServer is the incarnation of the server of the attempt launched last.
+	lastServer uint64
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 	// lastStep is the step decided after the attempt that ended last.
@@ -91,11 +93,13 @@
 }
 
 // hedge starts a second attempt if exactly one is pending, the body can be sent again,
-// and the limit of arrivals allows it.
+// and the limit of arrivals allows it. It goes to another server than the pending one: the
+// answers of two attempts at one server can't be told apart.
 func (r *race) hedge(ctx context.Context) {
 	if r.request.bodyStream != nil || r.pending != 1 || r.request.arrivals+r.pending >= r.request.maxArrivals() {
 		return
 	}
+	r.search.Exclude(r.lastServer)
 	r.launch(ctx)
 }
 
@@ -111,6 +115,7 @@
 	if r.pending > 0 {
 		r.search.Exclude(choice.Entry.Member.Incarnation)
 	}
+	r.lastServer = choice.Entry.Member.Incarnation
 	r.pending++
 	ctx, cancel := context.WithCancel(ctx)
 	index := len(r.cancels)
