--- a/review/1/run.py
+++ b/review/1/run.py
@@ -81,7 +81,7 @@
                 call(record, deployment.nodes[index % 4], statuses)
                 time.sleep(0.05)
 
-        threads = [threading.Thread(target=caller, args=(index,)) for index in range(CALLERS)]
+        threads = [threading.Thread(target=caller, args=(index,), daemon=True) for index in range(CALLERS)]
         for thread in threads:
             thread.start()
         time.sleep(CHANGE_AT_S)
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -83,7 +83,7 @@
                 statuses.append(call(record, others[index % len(others)], sent))
                 time.sleep(0.03)
 
-        threads = [threading.Thread(target=caller, args=(index,)) for index in range(CALLERS)]
+        threads = [threading.Thread(target=caller, args=(index,), daemon=True) for index in range(CALLERS)]
         for thread in threads:
             thread.start()
         time.sleep(4)
@@ -92,8 +92,10 @@
         time.sleep(fleet.HEARTBEAT_S + 0.2)
         # This ping is on its way while the server leaves.
         late = server.ping("ready")
-        threading.Timer(PING_DELAY_S, lambda: record.write(
-            "late ping arrives", server=server.id, status=server.tell(*late))).start()
+        timer = threading.Timer(PING_DELAY_S, lambda: record.write(
+            "late ping arrives", server=server.id, status=server.tell(*late)))
+        timer.daemon = True
+        timer.start()
         time.sleep(0.2)
         status = server.tell(*server.departure())
         acked = record.write("leave is acknowledged", server=server.id, status=status)
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -354,14 +354,14 @@
     """A store, and nodes with a server each. Ends all processes on exit."""
 
     def __init__(self, record):
+        if not os.path.exists(PROGRAM):
+            raise CouldNotRun("the build of the deploy file is missing: " + PROGRAM)
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
         self.nodes = []
 
     def __enter__(self):
-        if not os.path.exists(PROGRAM):
-            raise CouldNotRun("the build of the deploy file is missing: " + PROGRAM)
         return self
 
     def __exit__(self, *_):
