cataloger: Match a prefix only if it begins the path

Cause: the lookup removed the last slash of both the prefix and the path and compared the rest, so a prefix also matched the path that lacks its last slash. Where no other prefix matched, such a path was served instead of being answered 404.

Ruled out: order of versions and gossip. The catalog alone shows the fault.

Change: a route is taken only if its prefix begins the path. Prefixes without a last slash, which only the own interface has, match as before.

Test: TestPrefixBeginsPath; on the code before, 4 of its 14 subtests failed (LacksLastSlash, NoPrefixBegins, NoPrefixBeginsWithoutHost, AsLongestPrefixOfAny). One line of TestMatch asserted the fault (/sheets/today matched /sheets/today/); it now asserts the same for a path that the prefix begins, and the new test holds the other side.

--- a/state/cataloger/cataloger.go
+++ b/state/cataloger/cataloger.go
@@ -206,8 +206,8 @@
 	return strings.TrimSuffix(prefix, "/")
 }
 
-// Match returns the route with the longest path prefix that matches. Routes of
-// the host take precedence over routes without a host.
+// Match returns the route with the longest path prefix that begins the path, in whole
+// segments. Routes of the host take precedence over routes without a host.
 func (c Catalog) Match(host, path string) (Route, bool) {
 	if prefixes, ok := c.paths.Get(host); ok {
 		if route, ok := c.matchPrefix(prefixes, path); ok {
@@ -224,7 +224,10 @@
 func (c Catalog) matchPrefix(prefixes *immutable.Map[string, string], path string) (Route, bool) {
 	for prefix := trimSlash(path); ; {
 		if name, ok := prefixes.Get(prefix); ok {
-			return c.routes.Get(name)
+			// A prefix with a trailing slash does not begin the path that lacks it.
+			if route, ok := c.routes.Get(name); ok && strings.HasPrefix(path, route.PathPrefix) {
+				return route, true
+			}
 		}
 		cut := strings.LastIndexByte(prefix, '/')
 		if cut < 0 {
--- a/state/cataloger/cataloger_test.go
+++ b/state/cataloger/cataloger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -35,7 +36,59 @@
 	})
 	t.Run("OlderVersionStays", func(t *testing.T) {
 		_ = catalog.WithoutObjects([]cataloger.Key{{Kind: cataloger.KindRoute, Name: "today"}})
-		requireMatch(t, catalog, "", "/sheets/today", "today")
+		requireMatch(t, catalog, "", "/sheets/today/7", "today")
+	})
+}
+
+// TestPrefixBeginsPath guards against requests that reach the service of a route whose
+// prefix is one slash longer than their path.
+func TestPrefixBeginsPath(t *testing.T) {
+	catalog := cataloger.New().WithObjects(cataloger.Objects{Routes: []cataloger.Route{
+		route("billing", "a.example", "/billing/"), route("close", "a.example", "/billing/close/"),
+		route("odd", "a.example", "/billing/odd//"), route("any", "", "/any/"), route("bare", "", "/bare"),
+	}})
+	for _, c := range []struct{ name, host, path, want string }{
+		{"LacksLastSlash", "a.example", "/billing/close", "billing"},
+		{"SlashOnly", "a.example", "/billing/close/", "close"},
+		{"Below", "a.example", "/billing/close/7", "close"},
+		{"TwoSlashes", "a.example", "/billing/close//", "close"},
+		{"OneSlashOfTwo", "a.example", "/billing/odd/", "billing"},
+		{"BothSlashes", "a.example", "/billing/odd//", "odd"},
+		{"BelowBothSlashes", "a.example", "/billing/odd//7", "odd"},
+		{"NoPrefixBegins", "a.example", "/billing", ""},
+		{"NoPrefixBeginsWithoutHost", "b.example", "/any", ""},
+		{"WithoutHost", "a.example", "/any/7", "any"},
+		{"BarePrefix", "b.example", "/bare", "bare"},
+		{"BelowBarePrefix", "b.example", "/bare/7", "bare"},
+		{"BarePrefixWithSlash", "b.example", "/bare/", "bare"},
+	} {
+		t.Run(c.name, func(t *testing.T) { requireMatch(t, catalog, c.host, c.path, c.want) })
+	}
+	t.Run("AsLongestPrefixOfAny", testLongestPrefix)
+}
+
+// testLongestPrefix compares Match with the definition: of the prefixes that begin the
+// path, the longest.
+func testLongestPrefix(t *testing.T) {
+	segments := rapid.StringMatching(`(/[ab]?){1,4}`)
+	rapid.Check(t, func(t *rapid.T) {
+		var routes []cataloger.Route
+		known := map[string]bool{}
+		for _, prefix := range rapid.SliceOfN(segments, 1, 6).Draw(t, "prefixes") {
+			if prefix += "/"; !known[prefix] {
+				known[prefix] = true
+				routes = append(routes, route("to "+prefix, "a.example", prefix))
+			}
+		}
+		catalog := cataloger.New().WithObjects(cataloger.Objects{Routes: routes})
+		path, want := segments.Draw(t, "path"), ""
+		for prefix := range known {
+			if strings.HasPrefix(path, prefix) && len(prefix) >= len(want) {
+				want = prefix
+			}
+		}
+		found, _ := catalog.Match("a.example", path)
+		require.Equal(t, want, found.PathPrefix)
 	})
 }
 
--- a/state/cataloger/objects.go
+++ b/state/cataloger/objects.go
@@ -67,7 +67,7 @@
 	Name string `yaml:"Name" validate:"required,max=100"`
 	// Host restricts the route to one host name; empty matches any.
 	Host string `yaml:"Host" validate:"max=255"`
-	// PathPrefix matches whole path segments; the longest match wins.
+	// PathPrefix matches whole path segments; the longest match wins. One that ends with a slash does not match the path without it.
 	PathPrefix string `yaml:"PathPrefix" validate:"required,startswith=/,max=1000"`
 	// Service names the Service object that serves the route. It must be empty if Split is given.
 	Service string `yaml:"Service" validate:"required_without=Split"`
