runner: Keep the departure of a server before it is acknowledged

Cause: the enroller's memory of which run left ended with the process, and a new process took any announcement for the first of a new run.

Ruled out: stale rosters of routers, since every request passes the guard of the VM, which had the run in service again.

Change: a departure is written to the store before the announcement is acknowledged; a new process reads it before it takes announcements (verdict Held until then). With the store away the roster entry of the process before decides, which names no service once its server has left; the acknowledgement waits for one peer that has it. Without either, announcements are held for 8 s, the longest that they may be late. A stopping process no longer names the service of a server that has left.

The enroller's earlier tests start from a process that knows that no run left; TestNoRunIsRevived has restarts now.

--- a/commands/run.go
+++ b/commands/run.go
@@ -142,6 +142,9 @@
 		Register:   source.Register,
 		Deregister: source.Deregister,
 		Peers:      source.Peers,
+
+		RecordDeparture: source.RecordDeparture,
+		Departure:       source.Departure,
 	}
 	process, err := runner.New(deps)
 	if err != nil {
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -151,10 +151,15 @@
 }
 
 // MemberStatus returns the description of the server for the roster. It names no
-// service unless the server is present or leaving.
+// service unless the server is present, so that peers and later processes of the VM can
+// tell a server that left from one whose process stops.
 func (c *Controller) MemberStatus() MemberStatus {
-	if !c.present && !c.leaving {
-		return MemberStatus{State: registrar.StateStarting}
+	if !c.present {
+		state := registrar.StateStarting
+		if c.leaving {
+			state = c.State()
+		}
+		return MemberStatus{State: state}
 	}
 	return MemberStatus{Service: c.config.Service, Slots: c.config.Slots, State: c.State()}
 }
--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -8,9 +8,9 @@
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 )
 
-// maxDelay is how long after a leave notice an announcement that was sent before
+// MaxDelay is how long after a leave notice an announcement that was sent before
 // it may still arrive.
-const maxDelay = 8 * time.Second
+const MaxDelay = 8 * time.Second
 
 // Announcement is one announcement or leave notice of a backend server. A run is
 // the life of one process of the server.
@@ -45,30 +45,78 @@
 	VerdictForeign
 	// VerdictStale means that a later run, or a later announcement of the same run, is known.
 	VerdictStale
+	// VerdictHeld means that the run may have left before this process started. It may be
+	// announced again once WithDeparture was called.
+	VerdictHeld
 )
 
 // String returns the name of the verdict.
 func (v Verdict) String() string {
-	names := [...]string{"Unknown", "Announced", "Retired", "Foreign", "Stale"}
+	names := [...]string{"Unknown", "Announced", "Retired", "Foreign", "Stale", "Held"}
 	if int(v) < len(names) {
 		return names[v]
 	}
 	return names[0]
 }
 
+// Departure is what outlives a process about the last run of its server that left. The
+// zero value means that none has left.
+type Departure struct {
+	// ID names the server.
+	ID string
+	// StartedMs is the Unix time of the run's start in milliseconds, 0 if it is not known.
+	StartedMs int64
+	// LeftMs is the Unix time in milliseconds at which the run was first known to leave.
+	LeftMs int64
+}
+
 // Enroller tracks the latest run of the server at one address. It is immutable.
 type Enroller struct {
 	address string
-	// latest is the last announcement that was neither stale nor foreign.
+	// startedAt is when the process started.
+	startedAt clocker.Instant
+	// recalled is set once the last departure before startedAt is known.
+	recalled bool
+	// latest is the last announcement that was neither stale, foreign nor held.
 	latest Announcement
+	// departure is the last run that left, latest itself or an earlier one, and leftAt is
+	// when that was first known.
+	departure Departure
+	leftAt    clocker.Instant
 }
 
-// New returns the enroller of the server at an IP:port.
-func New(address string) Enroller { return Enroller{address: address} }
+// New returns the enroller of the server at an IP:port, in a process that started at the
+// given time and does not know yet which run left before.
+func New(address string, startedAt clocker.Instant) Enroller {
+	return Enroller{address: address, startedAt: startedAt}
+}
 
-// Latest returns the last announcement that was neither stale nor foreign.
+// Latest returns the last announcement that was neither stale, foreign nor held.
 func (e Enroller) Latest() Announcement { return e.latest }
 
+// Departure returns the last run that left.
+func (e Enroller) Departure() Departure { return e.departure }
+
+// Settled reports whether the last departure before the process started is known, or
+// announcements from that time can no longer arrive.
+func (e Enroller) Settled(now clocker.Instant) bool {
+	return e.recalled || now.Since(e.startedAt) > MaxDelay
+}
+
+// WithDeparture returns the enroller with the last run that left before the process
+// started, and VerdictRetired if no later run is known.
+func (e Enroller) WithDeparture(departure Departure, now clocker.Instant) (Enroller, Verdict) {
+	e.recalled = true
+	leftWithoutStart := e.latest.Leaving && e.latest.StartedMs == 0
+	if departure.ID == "" || leftWithoutStart {
+		return e, VerdictStale
+	}
+	left := clocker.Instant{Mono: now.Mono, Wall: time.Duration(departure.LeftMs) * time.Millisecond}
+	return e.WithAnnouncement(Announcement{
+		ID: departure.ID, StartedMs: departure.StartedMs, Leaving: true, ReceivedAt: left,
+	})
+}
+
 // WithAnnouncement returns the enroller after one announcement or leave notice,
 // and the verdict on it.
 func (e Enroller) WithAnnouncement(next Announcement) (Enroller, Verdict) {
@@ -81,18 +129,20 @@
 	if next.Leaving {
 		return e.withLeaving(next), VerdictRetired
 	}
+	if !e.Settled(next.ReceivedAt) {
+		return e, VerdictHeld
+	}
 	e.latest = next
 	return e, VerdictAnnounced
 }
 
 // WithLeavingAnswer returns the enroller after an answer in which a run says that it is
 // leaving, and VerdictRetired if that is the latest run and was not known to leave.
-func (e Enroller) WithLeavingAnswer(id string, startedMs int64) (Enroller, Verdict) {
+func (e Enroller) WithLeavingAnswer(id string, startedMs int64, now clocker.Instant) (Enroller, Verdict) {
 	if id == "" || id != e.latest.ID || startedMs != e.latest.StartedMs || e.latest.Leaving {
 		return e, VerdictStale
 	}
-	e.latest.Leaving = true
-	return e, VerdictRetired
+	return e.withDeparted(now), VerdictRetired
 }
 
 const (
@@ -131,21 +181,30 @@
 // sentBeforeLeave reports whether an announcement was sent before a leave notice
 // that did not contain the start time of its run.
 func (e Enroller) sentBeforeLeave(next Announcement) bool {
-	known := e.latest
-	if next.ID != known.ID || next.ReceivedAt.Since(known.ReceivedAt) > maxDelay {
+	if next.ID != e.latest.ID || next.ReceivedAt.Since(e.leftAt) > MaxDelay {
 		return false
 	}
-	return next.StartedMs <= known.ReceivedAt.UnixMilli()
+	return next.StartedMs <= e.leftAt.UnixMilli()
 }
 
 // withLeaving returns the enroller after a run began to leave. A leave notice
 // lacks the other fields, so those of the run's last announcement are kept.
 func (e Enroller) withLeaving(next Announcement) Enroller {
-	if next.ID == e.latest.ID && (next.StartedMs == 0 || next.StartedMs == e.latest.StartedMs) {
-		e.latest.Leaving = true
-		e.latest.Sequence = max(e.latest.Sequence, next.Sequence)
+	if next.ID != e.latest.ID || next.StartedMs != 0 && next.StartedMs != e.latest.StartedMs {
+		e.latest = next
+		return e.withDeparted(next.ReceivedAt)
+	}
+	e.latest.Sequence = max(e.latest.Sequence, next.Sequence)
+	if e.latest.Leaving {
 		return e
 	}
-	e.latest = next
+	return e.withDeparted(next.ReceivedAt)
+}
+
+// withDeparted returns the enroller after the latest run was first known to leave.
+func (e Enroller) withDeparted(now clocker.Instant) Enroller {
+	e.latest.Leaving = true
+	e.leftAt = now
+	e.departure = Departure{ID: e.latest.ID, StartedMs: e.latest.StartedMs, LeftMs: now.UnixMilli()}
 	return e
 }
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -32,6 +32,12 @@
 	return announcement
 }
 
+// settled returns the enroller of a process that knows that no run left before it.
+func settled() enroller.Enroller {
+	e, _ := enroller.New(address, at(0)).WithDeparture(enroller.Departure{}, at(0))
+	return e
+}
+
 // leaveNotice returns the leave notice of server a, received two seconds after
 // the epoch, without the start time of its run.
 func leaveNotice() enroller.Announcement {
@@ -41,7 +47,11 @@
 // requireVerdicts passes announcements to an enroller in order.
 func requireVerdicts(t *testing.T, announcements []enroller.Announcement, want ...enroller.Verdict) {
 	t.Helper()
-	e := enroller.New(address)
+	requireVerdictsFrom(t, settled(), announcements, want...)
+}
+
+func requireVerdictsFrom(t *testing.T, e enroller.Enroller, announcements []enroller.Announcement, want ...enroller.Verdict) {
+	t.Helper()
 	for i, announcement := range announcements {
 		var verdict enroller.Verdict
 		e, verdict = e.WithAnnouncement(announcement)
@@ -104,9 +114,6 @@
 	})
 }
 
-// TestNoRunIsRevived generates announcements of several runs in any order and
-// checks that a run that has left is never announced again and that an earlier
-// run never replaces a later one.
 // TestLeavingAnswersRetireTheirRun guards against new work for a server that says in its
 // answers that it leaves, but whose announcement of that is late or never comes.
 func TestLeavingAnswersRetireTheirRun(t *testing.T) {
@@ -117,33 +124,42 @@
 		return e
 	}
 	t.Run("LaterReadyOnesAreStale", func(t *testing.T) {
-		e := announce(t, enroller.New(address), ready("a", 0, 1), enroller.VerdictAnnounced)
-		e, verdict := e.WithLeavingAnswer("a", epoch)
+		e := announce(t, settled(), ready("a", 0, 1), enroller.VerdictAnnounced)
+		e, verdict := e.WithLeavingAnswer("a", epoch, at(2*time.Second))
 		require.Equal(t, enroller.VerdictRetired, verdict)
-		_, verdict = e.WithLeavingAnswer("a", epoch)
+		_, verdict = e.WithLeavingAnswer("a", epoch, at(2*time.Second))
 		require.Equal(t, enroller.VerdictStale, verdict)
 		e = announce(t, e, ready("a", 0, 2), enroller.VerdictStale)
 		e = announce(t, e, leaving(ready("a", 0, 3)), enroller.VerdictRetired)
 		announce(t, e, leaveNotice(), enroller.VerdictRetired)
 	})
 	t.Run("TheNextRunIsAnnounced", func(t *testing.T) {
-		e := announce(t, enroller.New(address), ready("a", 0, 1), enroller.VerdictAnnounced)
-		e, _ = e.WithLeavingAnswer("a", epoch)
+		e := announce(t, settled(), ready("a", 0, 1), enroller.VerdictAnnounced)
+		e, _ = e.WithLeavingAnswer("a", epoch, at(2*time.Second))
 		e = announce(t, e, ready("a", 500, 1), enroller.VerdictAnnounced)
-		_, verdict := e.WithLeavingAnswer("a", epoch)
+		_, verdict := e.WithLeavingAnswer("a", epoch, at(2*time.Second))
 		require.Equal(t, enroller.VerdictStale, verdict, "an answer of the run before, which had the same ID")
 	})
 }
 
+// TestNoRunIsRevived generates announcements of several runs in any order, and restarts
+// of the process, and checks that a run that has left is never announced again and that
+// an earlier run never replaces a later one.
 func TestNoRunIsRevived(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		e := enroller.New(address)
+		e := settled()
 		left := map[int64]bool{}
 		latest := int64(-1)
 		for range rapid.IntRange(1, 40).Draw(t, "entries") {
 			run := rapid.Int64Range(0, 3).Draw(t, "run")
 			announcement := ready("a", run, rapid.Uint64Range(1, 9).Draw(t, "sequence"))
 			announcement.Leaving = rapid.IntRange(0, 3).Draw(t, "leaving") == 0
+			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				e = restarted(e, at(time.Second))
+				if !left[latest] {
+					latest = -1 // A restart forgets the runs that did not leave.
+				}
+			}
 			next, verdict := e.WithAnnouncement(announcement)
 			e = next
 			switch verdict {
@@ -159,3 +175,90 @@
 		}
 	})
 }
+
+// restarted returns the enroller of a process that starts after one that knew known.
+func restarted(known enroller.Enroller, now clocker.Instant) enroller.Enroller {
+	e, _ := enroller.New(address, now).WithDeparture(known.Departure(), now)
+	return e
+}
+
+// TestRestartKnowsWhichRunLeft guards against new work for a server that left, after the
+// process that acknowledged that was killed and a late announcement reached its successor.
+func TestRestartKnowsWhichRunLeft(t *testing.T) {
+	const (
+		announced = enroller.VerdictAnnounced
+		retired   = enroller.VerdictRetired
+		stale     = enroller.VerdictStale
+		held      = enroller.VerdictHeld
+	)
+	late := func(announcement enroller.Announcement, after time.Duration) enroller.Announcement {
+		announcement.ReceivedAt = at(after)
+		return announcement
+	}
+	ready7 := late(ready("a", 0, 7), 4*time.Second)
+	for _, way := range []struct {
+		name  string
+		leave enroller.Announcement
+	}{
+		{"Draining", late(leaving(ready("a", 0, 8)), 2*time.Second)},
+		{"LeaveNotice", leaveNotice()},
+		{"LeaveNoticeWithStart", enroller.Announcement{ID: "a", StartedMs: epoch, Leaving: true, ReceivedAt: at(2 * time.Second)}},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			for _, first := range [][]enroller.Announcement{{ready("a", 0, 1)}, nil} {
+				e := settled()
+				for _, announcement := range append(first, way.leave) {
+					e, _ = e.WithAnnouncement(announcement)
+				}
+				for restarts := range 3 {
+					e = restarted(e, at(3*time.Second))
+					require.Equal(t, "a", e.Departure().ID, "restart %d", restarts)
+					require.Equal(t, int64(epoch+2000), e.Departure().LeftMs, "restart %d", restarts)
+				}
+				requireVerdictsFrom(t, e, []enroller.Announcement{
+					ready7, late(ready("a", 0, 9), 5*time.Second), late(ready("b", 3500, 1), 5*time.Second), ready7,
+				}, stale, stale, announced, stale)
+			}
+		})
+	}
+	t.Run("LeavingAnswer", func(t *testing.T) {
+		e, _ := settled().WithAnnouncement(ready("a", 0, 1))
+		e, _ = e.WithLeavingAnswer("a", epoch, at(2*time.Second))
+		requireVerdictsFrom(t, restarted(e, at(3*time.Second)), []enroller.Announcement{ready7}, stale)
+	})
+	t.Run("HeldUntilTheDepartureIsKnown", func(t *testing.T) {
+		e := enroller.New(address, at(3*time.Second))
+		requireVerdictsFrom(t, e, []enroller.Announcement{ready7, late(ready("a", 0, 8), 5*time.Second)}, held, held)
+		e, verdict := e.WithDeparture(enroller.Departure{ID: "a", StartedMs: epoch, LeftMs: epoch + 2000}, at(5*time.Second))
+		require.Equal(t, retired, verdict)
+		requireVerdictsFrom(t, e, []enroller.Announcement{late(ready("a", 0, 8), 5*time.Second)}, stale)
+	})
+	t.Run("HeldNoLongerThanAnnouncementsAreLate", func(t *testing.T) {
+		e := enroller.New(address, at(3*time.Second))
+		requireVerdictsFrom(t, e, []enroller.Announcement{
+			late(ready("a", 0, 8), 10*time.Second), late(ready("a", 0, 9), 12*time.Second),
+		}, held, announced)
+	})
+	t.Run("LeavingIsNeverHeld", func(t *testing.T) {
+		requireVerdictsFrom(t, enroller.New(address, at(0)), []enroller.Announcement{leaveNotice()}, retired)
+	})
+	t.Run("DepartureOfAnEarlierRunChangesNothing", func(t *testing.T) {
+		e, _ := settled().WithAnnouncement(late(ready("b", 3000, 1), 4*time.Second))
+		e, verdict := e.WithDeparture(enroller.Departure{ID: "a", StartedMs: epoch, LeftMs: epoch + 2000}, at(5*time.Second))
+		require.Equal(t, stale, verdict)
+		require.Empty(t, e.Departure())
+	})
+	t.Run("LeaveNoticeBeforeTheDepartureIsKnown", func(t *testing.T) {
+		e, _ := enroller.New(address, at(0)).WithAnnouncement(leaveNotice())
+		e, _ = e.WithDeparture(enroller.Departure{ID: "z", StartedMs: epoch - 5000, LeftMs: epoch}, at(2*time.Second))
+		require.Equal(t, "a", e.Departure().ID)
+		requireVerdictsFrom(t, e, []enroller.Announcement{ready7}, stale)
+	})
+	t.Run("DepartureOutlastsTheNextRun", func(t *testing.T) {
+		e, _ := settled().WithAnnouncement(leaving(ready("a", 0, 8)))
+		e, _ = e.WithAnnouncement(late(ready("b", 3000, 1), 4*time.Second))
+		requireVerdictsFrom(t, restarted(e, at(5*time.Second)), []enroller.Announcement{
+			late(ready("a", 0, 7), 6*time.Second), late(ready("b", 3000, 2), 6*time.Second),
+		}, stale, announced)
+	})
+}
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -8,16 +9,67 @@
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
 
-// HandleAnnouncement handles an announcement or a leave notice of the backend
-// server. It returns once the guard has applied it.
+// HandleAnnouncement handles an announcement or a leave notice of the backend server. It
+// returns once the guard has applied it and, if the server leaves, once the Source keeps
+// that for later processes on this VM.
 func (r *Runner) HandleAnnouncement(announcement enroller.Announcement, coldStart time.Duration) error {
+	departure, err := r.applyAnnouncement(announcement, coldStart)
+	if err != nil {
+		return err
+	}
+	if !announcement.Leaving || departure.ID != announcement.ID {
+		return nil
+	}
+	r.urgent.Store(true)
+	if err := r.departures.await(departure); err != nil {
+		return err
+	}
+	r.awaitSpread(r.self.Load().Version)
+	return nil
+}
+
+const (
+	// maxSpreadWait bounds the wait until another process knows that the server left. The
+	// Source knows it by then.
+	maxSpreadWait = 300 * time.Millisecond
+	// spreadCheckPeriod is how often that is checked.
+	spreadCheckPeriod = 5 * time.Millisecond
+	// spreadTime is how long after its start a process relies on what peers know of the one
+	// before it. What one of them learned has reached the others by then.
+	spreadTime = time.Second
+)
+
+// awaitSpread waits until another process has a version of the own entry.
+func (r *Runner) awaitSpread(version uint64) {
+	for end := r.now().Add(maxSpreadWait); r.selfAcked.Load() < version && !r.alone() && r.now().Since(end) < 0; {
+		time.Sleep(spreadCheckPeriod)
+	}
+}
+
+// heldAnnouncement is an announcement that may be from a run that has left.
+type heldAnnouncement struct {
+	announcement enroller.Announcement
+	coldStart    time.Duration
+}
+
+// applyAnnouncement applies an announcement and returns the last run that left.
+func (r *Runner) applyAnnouncement(announcement enroller.Announcement, coldStart time.Duration) (enroller.Departure, error) {
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
 	announcement.ReceivedAt = r.now()
 	next, verdict := r.enroller.WithAnnouncement(announcement)
 	r.enroller = next
+	if verdict == enroller.VerdictHeld {
+		r.held.Store(&heldAnnouncement{announcement: announcement, coldStart: coldStart})
+	}
+	return next.Departure(), r.applyVerdict(announcement, verdict, coldStart)
+}
+
+// applyVerdict tells the guard what an announcement changes. The caller holds announcementMu.
+func (r *Runner) applyVerdict(announcement enroller.Announcement, verdict enroller.Verdict, coldStart time.Duration) error {
 	switch verdict {
 	case enroller.VerdictAnnounced:
+		r.held.Store(nil)
 		err := r.guard.Announce(guard.Announcement{
 			Address: announcement.Address, Run: announcement.ID, Service: announcement.Service, Slots: announcement.Slots,
 			ColdStart: coldStart, StartedMs: announcement.StartedMs,
@@ -29,6 +81,7 @@
 		if err := r.guard.Retire(announcement.ID); err != nil {
 			return fmt.Errorf("retiring %s: %w", announcement.ID, err)
 		}
+		r.renewMemberStatus()
 	default:
 		r.deps.Log.Info("AnnouncementIgnored", "Server", announcement.ID, "Verdict", verdict.String(),
 			"Address", announcement.Address, "Sequence", announcement.Sequence, "StartedMs", announcement.StartedMs)
@@ -36,12 +89,26 @@
 	return nil
 }
 
+// checkPredecessor applies the held announcement if peers show that it is not from a run
+// that has left.
+func (r *Runner) checkPredecessor() {
+	held := r.held.Load()
+	if held == nil || r.now().Mono < spreadTime {
+		return
+	}
+	longRunning := uint64(r.started.Add(-enroller.MaxDelay).UnixMilli()) << incarnationRandomBits
+	if enroller.RuledOut(*r.self.Load(), held.announcement.Service, r.roster.Load().Members(), longRunning) {
+		r.deps.Log.Info("DepartureRuledOut", "Server", held.announcement.ID)
+		r.handleDeparture(enroller.Departure{})
+	}
+}
+
 // handleLeavingAnswer retires a run whose answers say that it is shutting down, whether or
 // not its announcement of that arrives.
 func (r *Runner) handleLeavingAnswer(run string, startedMs int64) {
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
-	next, verdict := r.enroller.WithLeavingAnswer(run, startedMs)
+	next, verdict := r.enroller.WithLeavingAnswer(run, startedMs, r.now())
 	r.enroller = next
 	if verdict != enroller.VerdictRetired {
 		return
@@ -52,6 +119,44 @@
 	}
 }
 
+// handleDeparture applies the last departure before this process started, or the zero
+// value if there was none, and then the announcement that was held until it was known.
+func (r *Runner) handleDeparture(departure enroller.Departure) {
+	r.announcementMu.Lock()
+	defer r.announcementMu.Unlock()
+	now := r.now()
+	next, verdict := r.enroller.WithDeparture(departure, now)
+	r.enroller = next
+	r.deps.Log.Info("DepartureRecalled", "Server", departure.ID, "StartedMs", departure.StartedMs,
+		"LeftMs", departure.LeftMs, "Verdict", verdict.String())
+	if verdict == enroller.VerdictRetired {
+		if err := r.guard.Retire(departure.ID); err != nil {
+			r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
+		}
+	}
+	held := r.held.Swap(nil)
+	if held == nil {
+		return
+	}
+	announcement := held.announcement
+	announcement.ReceivedAt = now
+	r.enroller, verdict = r.enroller.WithAnnouncement(announcement)
+	if err := r.applyVerdict(announcement, verdict, held.coldStart); err != nil {
+		r.deps.Log.Warn("AnnouncementRefused", "Server", announcement.ID, "Error", err)
+	}
+}
+
+// keepDepartures keeps the departures of the backend server in the Source until the
+// context is done.
+func (r *Runner) keepDepartures(ctx context.Context) error {
+	r.departures.run(ctx, r.handleDeparture, func() bool {
+		r.announcementMu.Lock()
+		defer r.announcementMu.Unlock()
+		return r.enroller.Settled(r.now())
+	})
+	return nil
+}
+
 // maxJoinWait is how long a starting process that knows no peer waits before it
 // reports ready.
 const maxJoinWait = 1500 * time.Millisecond
--- a/transport/runner/loops.go
+++ b/transport/runner/loops.go
@@ -66,6 +66,7 @@
 	if r.deps.Source != nil {
 		group.Go(func() error { return r.followSource(ctx) })
 		group.Go(func() error { return r.registerAtSource(ctx) })
+		group.Go(func() error { return r.keepDepartures(ctx) })
 		return
 	}
 	group.Go(func() error { return every(ctx, snapshotCheckPeriod, func() { r.appendSnapshot(ctx) }) })
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/warner"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
@@ -62,6 +63,17 @@
 	r.publishRoster()
 }
 
+// renewMemberStatus raises the version of the own entry if it names no server and has
+// never changed, so that peers can tell that a server has left.
+func (r *Runner) renewMemberStatus() {
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	if self := r.gossip.Self(); self.Version == enroller.FirstVersion {
+		r.gossip.SetSelf(self)
+		r.publishRoster()
+	}
+}
+
 // announceGone gossips that the process has stopped.
 func (r *Runner) announceGone() {
 	r.gossipMu.Lock()
@@ -121,12 +133,21 @@
 	r.gossipMu.Unlock()
 	r.recordWarnings(warnings)
 	r.recordContact(ping.Incarnation)
+	r.recordSelfAcked(ping.Message.Sender.Version)
+	r.checkPredecessor()
 	r.fetchIfNewer(ctx, ping.Address, reply.ConfigVersion)
 	for _, next := range more {
 		go r.ping(ctx, next)
 	}
 }
 
+// recordSelfAcked records that another process has a version of the own entry.
+func (r *Runner) recordSelfAcked(version uint64) {
+	for known := r.selfAcked.Load(); known < version && !r.selfAcked.CompareAndSwap(known, version); {
+		known = r.selfAcked.Load()
+	}
+}
+
 // countPeerBytes counts the bytes of a message to or from another process, by the
 // call and by whether it crosses the border of the own availability zone.
 func (r *Runner) countPeerBytes(address, method string, bytes int) {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -94,9 +94,15 @@
 	ejectorsMu sync.Mutex
 	ejectors   map[string]*ejector.Ejector
 
-	// announcementMu guards enroller.
+	// announcementMu guards enroller and the writers of held.
 	announcementMu sync.Mutex
 	enroller       enroller.Enroller
+	// held is the last announcement that waits until the departure before this process is
+	// known, if there is one.
+	held       atomic.Pointer[heldAnnouncement]
+	departures *departures
+	// selfAcked is the highest version of the own entry that another process has.
+	selfAcked atomic.Uint64
 	// maxKnownServers is the largest number of servers known at the same time, by
 	// service. Only the goroutine of refreshServiceTable uses it.
 	maxKnownServers map[string]int
@@ -141,7 +147,18 @@
 	r.logState.Store(&logState)
 	r.settings.Store(&deps.Settings)
 	r.sourceVersion.Store(&version{catalog: cataloger.New()})
-	r.enroller = enroller.New(deps.Settings.ServerAddress)
+	r.enroller = enroller.New(deps.Settings.ServerAddress, r.now())
+	if source := deps.Source; source != nil {
+		r.departures = newDepartures(
+			func(ctx context.Context, departure enroller.Departure) error {
+				return source.RecordDeparture(ctx, deps.Settings.ServerAddress, departure)
+			},
+			func(ctx context.Context) (enroller.Departure, error) {
+				return source.Departure(ctx, deps.Settings.ServerAddress)
+			},
+			deps.Log,
+		)
+	}
 	r.claims = newClaims(r)
 	r.buildMembership()
 	r.buildGuard()
@@ -171,7 +188,7 @@
 		Address:     r.deps.Settings.PeerAddress,
 		HTTPAddress: r.deps.Settings.CallerAddress,
 		Zone:        r.deps.Settings.Zone,
-		Version:     1,
+		Version:     enroller.FirstVersion,
 	}
 	r.gossip = gossiper.New(self, r.deps.Settings.Peers, rand.Uint64)
 	r.publishRoster()
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/delegator"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 )
 
 // Source replaces the log as the origin of the configuration, in numbered and
-// checked versions, and of the addresses of other processes.
+// checked versions, and of the addresses of other processes. It also keeps what a process
+// must know about its backend server after a restart.
 type Source struct {
 	// Follow reads versions for the follower until the context is done.
 	Follow func(ctx context.Context, follower delegator.Follower)
@@ -21,6 +23,10 @@
 	Deregister func(ctx context.Context, address string) error
 	// Peers returns some registered addresses of other processes than the own.
 	Peers func(ctx context.Context, own string) ([]string, error)
+	// RecordDeparture keeps the last departure of the backend server at an address, and
+	// Departure returns it, or the zero value if there is none.
+	RecordDeparture func(ctx context.Context, address string, departure enroller.Departure) error
+	Departure       func(ctx context.Context, address string) (enroller.Departure, error)
 }
 
 const (
