acceptor: Write the last chunk only of a whole answer

Cause: for answers of unknown length over 64 KiB the HTTP library's writer ends the body properly also when its reader fails, and returns no error, so that a cut answer was neither marked as incomplete nor its connection closed.

Change: transport/chunker writes such bodies. It writes the last chunk only if the reader returns io.EOF itself; an error that wraps io.EOF does not count.

Test: TestTruncatedAnswersNeverLookWhole; on the code before, both subtests with a failing source failed (no error where one is due).

--- a/transport/acceptor/acceptor_test.go
+++ b/transport/acceptor/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -32,10 +34,12 @@
 	acceptor *acceptor.Acceptor
 	address  string
 
-	mu       sync.Mutex
-	limits   cataloger.Limits
-	gates    map[string]chan struct{}
-	bodies   map[string]string
+	mu     sync.Mutex
+	limits cataloger.Limits
+	gates  map[string]chan struct{}
+	bodies map[string]string
+	// streamed holds the bodies of answers that are streamed, by path.
+	streamed map[string]io.Reader
 	canceled chan string
 	started  chan string
 }
@@ -46,7 +50,7 @@
 	require.NoError(t, err)
 	s := &testServer{
 		t: t, address: free.Addr().String(), limits: cataloger.DefaultLimits(),
-		gates: map[string]chan struct{}{}, bodies: map[string]string{},
+		gates: map[string]chan struct{}{}, bodies: map[string]string{}, streamed: map[string]io.Reader{},
 		canceled: make(chan string, 100), started: make(chan string, 100),
 	}
 	require.NoError(t, free.Close())
@@ -101,7 +105,7 @@
 		body = string(rest)
 	}
 	s.mu.Lock()
-	gate := s.gates[path]
+	gate, stream := s.gates[path], s.streamed[path]
 	s.bodies[path] = body
 	s.mu.Unlock()
 	s.started <- path
@@ -113,6 +117,11 @@
 			return answer(http.StatusBadGateway, "Gone")
 		}
 	}
+	if stream != nil {
+		response := answer(http.StatusOK, "")
+		response.SetBodyStream(stream, -1)
+		return response
+	}
 	return answer(http.StatusOK, "to "+path)
 }
 
@@ -345,6 +354,41 @@
 	require.Equal(t, body, s.bodies["/a"])
 }
 
+// TestTruncatedAnswersNeverLookWhole guards against answers of unknown length that end
+// properly although their source failed.
+func TestTruncatedAnswersNeverLookWhole(t *testing.T) {
+	const part = 200_000
+	source := func(end error) io.Reader {
+		return io.MultiReader(strings.NewReader(strings.Repeat("x", part)), iotest.ErrReader(end))
+	}
+	t.Run("Whole", func(t *testing.T) {
+		s := startServer(t)
+		s.streamed["/long"] = source(io.EOF)
+		conn, in := s.dial()
+		_, err := io.WriteString(conn, get("/long")+get("/next"))
+		require.NoError(t, err)
+		response, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, body, part)
+		requireAnswer(t, in, http.StatusOK, "to /next")
+	})
+	for _, cause := range []error{errors.New("reset"), fmt.Errorf("the stream of the attempt: %w", io.EOF)} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			s := startServer(t)
+			s.streamed["/long"] = source(cause)
+			conn, in := s.dial()
+			_, err := io.WriteString(conn, get("/long"))
+			require.NoError(t, err)
+			response, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			_, err = io.ReadAll(response.Body)
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		})
+	}
+}
+
 func TestDrain(t *testing.T) {
 	t.Run("IdleConnectionsEnd", func(t *testing.T) {
 		s := startServer(t)
--- a/transport/acceptor/connection.go
+++ b/transport/acceptor/connection.go
@@ -15,6 +15,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
+	"github.com/foxtailhall/foxtailhall/transport/chunker"
 	"github.com/foxtailhall/foxtailhall/transport/reader"
 )
 
@@ -340,12 +341,26 @@
 	if slot.http10 && response.Header.ContentLength() < 0 {
 		slot.closeAfter = true
 	}
+	if response.IsBodyStream() && response.Header.ContentLength() < 0 && !response.MustSkipBody() {
+		return c.writeChunked(response)
+	}
 	if err := resp.Write(response, c.out); err != nil {
 		return err //nolint:wrapcheck // logged with its context by flush
 	}
 	return c.out.Flush() //nolint:wrapcheck // logged with its context by flush
 }
 
+// writeChunked writes an answer of unknown length. It ends the body only if all of it was
+// read from its source.
+func (c *connection) writeChunked(response *protocol.Response) error {
+	response.Header.SetContentLength(-1)
+	if err := resp.WriteHeader(&response.Header, c.out); err != nil {
+		return err //nolint:wrapcheck // logged with its context by flush
+	}
+	err := chunker.Write(c.out, response.BodyStream())
+	return errors.Join(err, response.CloseBodyStream())
+}
+
 // shutDown closes the connection: gracefully after a last answer, at once after a failed
 // write.
 func (c *connection) shutDown(graceful bool) {
