forwarder: End an upload properly only if all of it arrived

Cause: the HTTP library's writer ends a body of unknown length properly also when its reader fails. The close of the connection at the end of the router's stream raced with it. A body with a length that ended early kept the server waiting until the time limit.

Change: the exchange writes streamed bodies itself, in chunks by transport/chunker, and closes the connection if their source ends early.

Test: TestTruncatedUploadsNeverLookWhole; on the code before, four of its six subtests failed: in chunks the server got a whole body, by length the exchange lasted for its limit of 10 s.

--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -12,6 +12,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"github.com/foxtailhall/foxtailhall/transport/chunker"
 )
 
 const (
@@ -81,11 +83,52 @@
 
 func (e *Exchange) write(request *protocol.Request) {
 	defer close(e.requestWritten)
-	if e.writeErr = req.Write(request, e.conn.writer); e.writeErr == nil {
+	if request.IsBodyStream() {
+		e.writeErr = e.writeStream(request)
+	} else {
+		e.writeErr = req.Write(request, e.conn.writer)
+	}
+	if e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
 	}
 }
 
+// writeStream writes a request with a streamed body. It closes the connection if the body
+// ends early, so that the server neither takes a part for the whole nor waits for the rest.
+func (e *Exchange) writeStream(request *protocol.Request) error {
+	body := &failureReader{source: request.BodyStream()}
+	length := max(request.Header.ContentLength(), lengthChunked)
+	request.Header.SetContentLength(length)
+	err := req.WriteHeader(&request.Header, e.conn.writer)
+	switch {
+	case err != nil:
+	case length == lengthChunked:
+		err = chunker.Write(e.conn.writer, body)
+	default:
+		err = ext.WriteBodyFixedSize(e.conn.writer, body, int64(length))
+	}
+	if body.failed {
+		_ = e.conn.raw.Close()
+	}
+	if err != nil {
+		return fmt.Errorf("writing a streamed body: %w", err)
+	}
+	return nil
+}
+
+// failureReader remembers whether its source ended early.
+type failureReader struct {
+	source io.Reader
+	failed bool
+}
+
+// Read implements io.Reader.
+func (f *failureReader) Read(buffer []byte) (int, error) {
+	n, err := f.source.Read(buffer)
+	f.failed = f.failed || err != nil && err != io.EOF
+	return n, err //nolint:wrapcheck // a reader returns its source's errors
+}
+
 // readHead reads the head of the answer to the request and skips answers to others.
 func (e *Exchange) readHead(headOnly bool) error {
 	for range maxMismatched {
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -258,6 +261,52 @@
 	require.Len(t, s.connections, 2, "a connection with a partly sent body is not reused")
 }
 
+// TestTruncatedUploadsNeverLookWhole guards against servers that run an upload of which they
+// got a part, and against servers that wait for the rest of one.
+func TestTruncatedUploadsNeverLookWhole(t *testing.T) {
+	const part = 700_000
+	lost := fmt.Errorf("the stream of the router: %w", io.EOF)
+	for _, c := range []struct {
+		name   string
+		length int
+		end    error
+		whole  bool
+	}{
+		{"InChunks", -1, io.EOF, true},
+		{"ByLength", part, io.EOF, true},
+		{"InChunksReset", -1, errors.New("canceled"), false},
+		{"InChunksLost", -1, lost, false},
+		{"ByLengthReset", part + 1, errors.New("canceled"), false},
+		{"ByLengthLost", part + 1, lost, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			received := make(chan error, 1)
+			s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+				request, err := http.ReadRequest(in)
+				if err == nil {
+					_, err = io.Copy(io.Discard, request.Body)
+				}
+				received <- err
+				if err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			body := io.MultiReader(strings.NewReader(strings.Repeat("x", part)), iotest.ErrReader(c.end))
+			started := time.Now()
+			exchange, err := send(t, s.forwarder(), "a", body, c.length)
+			require.Less(t, time.Since(started), testTimeout, "the exchange ended by its time limit")
+			if c.whole {
+				require.NoError(t, err)
+				exchange.Close()
+				require.NoError(t, <-received)
+				return
+			}
+			require.Error(t, err)
+			require.ErrorIs(t, <-received, io.ErrUnexpectedEOF)
+		})
+	}
+}
+
 func TestUnreachableServer(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
