runner: Order the writes of departures, and bound each call

Cause, found by reading the change before: a departure that waits to be written until the store was read could replace a later one that the read returned; an announcement that was ignored could write an empty departure; and a call on a connection to the store that went silent held the acknowledgement for the client's limit of 3 s.

Change: departures are queued under the lock that orders announcements, the one that is known after the read goes first, none is written for none, and a call lasts 1 s at most.

Test: TestDepartures. It uses names that the code before lacks, so it was not run on it.

--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -62,6 +62,9 @@
 	if verdict == enroller.VerdictHeld {
 		r.held.Store(&heldAnnouncement{announcement: announcement, coldStart: coldStart})
 	}
+	if announcement.Leaving {
+		r.departures.keep(next.Departure())
+	}
 	return next.Departure(), r.applyVerdict(announcement, verdict, coldStart)
 }
 
@@ -120,8 +123,9 @@
 }
 
 // handleDeparture applies the last departure before this process started, or the zero
-// value if there was none, and then the announcement that was held until it was known.
-func (r *Runner) handleDeparture(departure enroller.Departure) {
+// value if there was none, and then the announcement that was held until it was known. It
+// returns the last departure.
+func (r *Runner) handleDeparture(departure enroller.Departure) enroller.Departure {
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
 	now := r.now()
@@ -134,16 +138,15 @@
 			r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
 		}
 	}
-	held := r.held.Swap(nil)
-	if held == nil {
-		return
-	}
-	announcement := held.announcement
-	announcement.ReceivedAt = now
-	r.enroller, verdict = r.enroller.WithAnnouncement(announcement)
-	if err := r.applyVerdict(announcement, verdict, held.coldStart); err != nil {
-		r.deps.Log.Warn("AnnouncementRefused", "Server", announcement.ID, "Error", err)
+	if held := r.held.Swap(nil); held != nil {
+		announcement := held.announcement
+		announcement.ReceivedAt = now
+		r.enroller, verdict = r.enroller.WithAnnouncement(announcement)
+		if err := r.applyVerdict(announcement, verdict, held.coldStart); err != nil {
+			r.deps.Log.Warn("AnnouncementRefused", "Server", announcement.ID, "Error", err)
+		}
 	}
+	return r.enroller.Departure()
 }
 
 // keepDepartures keeps the departures of the backend server in the Source until the
--- a/transport/runner/departures.go
+++ b/transport/runner/departures.go
@@ -15,6 +15,9 @@
 	// departureTimeout is how long an announcement waits until the Source keeps that its
 	// server leaves. Servers give up an announcement after a second.
 	departureTimeout = 600 * time.Millisecond
+	// departureCallTimeout bounds each call about departures. A connection to the store
+	// that went silent is found by it, and the next call uses another one.
+	departureCallTimeout = time.Second
 	// departureRetryDelay is the first delay after a failed call about departures. It
 	// doubles up to maxDepartureRetryDelay.
 	departureRetryDelay    = 200 * time.Millisecond
@@ -53,9 +56,12 @@
 	}
 }
 
-// await makes the Source keep a departure and returns nil once it does, or an error after
-// departureTimeout. Writing goes on after an error.
-func (d *departures) await(departure enroller.Departure) error {
+// keep makes the Source keep a departure, unless it is the zero value. The caller calls it
+// in the order of departures.
+func (d *departures) keep(departure enroller.Departure) {
+	if departure.ID == "" {
+		return
+	}
 	d.mu.Lock()
 	d.wanted = departure
 	d.mu.Unlock()
@@ -63,6 +69,11 @@
 	case d.wake <- struct{}{}:
 	default:
 	}
+}
+
+// await returns nil once the Source keeps a departure, or an error after
+// departureTimeout. Writing goes on after an error.
+func (d *departures) await(departure enroller.Departure) error {
 	timer := time.NewTimer(departureTimeout)
 	defer timer.Stop()
 	for {
@@ -80,16 +91,19 @@
 	}
 }
 
-// run recalls the last departure, passes it to apply, and then writes later ones until
-// the context is done. Nothing is written before, since that could replace a later
-// departure by an earlier one. It stops recalling once needless returns true.
-func (d *departures) run(ctx context.Context, apply func(enroller.Departure), needless func() bool) {
+// run recalls the last departure, passes it to apply, which returns the last one that is
+// then known, and writes that and later ones until the context is done. Nothing is written
+// before, since that could replace a later departure by an earlier one. It stops recalling
+// once needless returns true.
+func (d *departures) run(ctx context.Context, apply func(enroller.Departure) enroller.Departure, needless func() bool) {
 	retry := departureRetryDelay
 	for ctx.Err() == nil && !needless() {
-		departure, err := d.recall(ctx)
+		callCtx, cancel := context.WithTimeout(ctx, departureCallTimeout)
+		departure, err := d.recall(callCtx)
+		cancel()
 		if err == nil {
 			d.setKept(departure)
-			apply(departure)
+			d.keep(apply(departure))
 			break
 		}
 		d.log.Warn("DepartureNotRecalled", "Error", err)
@@ -116,7 +130,9 @@
 		if done {
 			return
 		}
-		err := d.record(ctx, wanted)
+		callCtx, cancel := context.WithTimeout(ctx, departureCallTimeout)
+		err := d.record(callCtx, wanted)
+		cancel()
 		if err == nil {
 			d.setKept(wanted)
 			d.log.Info("DepartureKept", "Server", wanted.ID, "StartedMs", wanted.StartedMs)
