acceptor: Answer the requests behind an answer that breaks off

Cause: every request is started as it is read, and a streamed answer that breaks off can be ended only with its connection.

Change: a streamed answer is buffered first, up to 1 MiB and in 16 connections at a time, if requests behind it have been started; if it breaks off meanwhile its caller gets 502. No request is started behind an answer that is being streamed; a close of the caller is still seen then.

--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -62,6 +62,9 @@
 	// Malformed returns the answer to a request that could not be read, with the given
 	// status and reason. The header is nil if not even the head could be read.
 	Malformed func(header *protocol.RequestHeader, status int, reason string) *protocol.Response
+	// Broken returns the answer to a request whose own answer broke off before any of it
+	// was written.
+	Broken func(header *protocol.RequestHeader) *protocol.Response
 }
 
 // Acceptor accepts and serves callers' connections. It is safe for concurrent use.
@@ -77,6 +80,8 @@
 	closed bool
 	// draining makes each connection close after the request that it reads next.
 	draining atomic.Bool
+	// held counts the streamed answers that are being buffered.
+	held atomic.Int64
 	// active counts requests from the end of their head to the end of their answer.
 	active atomic.Int64
 }
--- a/transport/acceptor/acceptor_test.go
+++ b/transport/acceptor/acceptor_test.go
@@ -42,6 +42,8 @@
 	streamed map[string]io.Reader
 	canceled chan string
 	started  chan string
+	// ended receives the path of each streamed answer whose context has ended.
+	ended chan string
 }
 
 func startServer(t *testing.T) *testServer {
@@ -52,6 +54,7 @@
 		t: t, address: free.Addr().String(), limits: cataloger.DefaultLimits(),
 		gates: map[string]chan struct{}{}, bodies: map[string]string{}, streamed: map[string]io.Reader{},
 		canceled: make(chan string, 100), started: make(chan string, 100),
+		ended: make(chan string, 100),
 	}
 	require.NoError(t, free.Close())
 	s.acceptor = acceptor.New(s.address, acceptor.Dependencies{
@@ -59,6 +62,7 @@
 		Malformed: func(_ *protocol.RequestHeader, status int, reason string) *protocol.Response {
 			return answer(status, reason)
 		},
+		Broken: func(*protocol.RequestHeader) *protocol.Response { return answer(http.StatusBadGateway, "Broken") },
 	})
 	require.NoError(t, s.acceptor.Listen())
 	go func() { _ = s.acceptor.Run() }()
@@ -118,6 +122,7 @@
 		}
 	}
 	if stream != nil {
+		context.AfterFunc(ctx, func() { s.ended <- path })
 		response := answer(http.StatusOK, "")
 		response.SetBodyStream(stream, -1)
 		return response
@@ -389,6 +394,87 @@
 	}
 }
 
+// TestBrokenAnswersLoseNoRequestsBehindThem guards against requests that were started behind
+// an answer that broke off, and got none.
+func TestBrokenAnswersLoseNoRequestsBehindThem(t *testing.T) {
+	const part = 200_000
+	source := func(bytes int, end error) io.Reader {
+		return io.MultiReader(strings.NewReader(strings.Repeat("x", bytes)), iotest.ErrReader(end))
+	}
+	t.Run("TheBrokenOneIsAnswered", func(t *testing.T) {
+		s := startServer(t)
+		s.streamed["/long"] = source(part, errors.New("reset"))
+		release := s.block("/long")
+		conn, in := s.dial()
+		_, err := io.WriteString(conn, get("/long")+get("/b")+get("/c"))
+		require.NoError(t, err)
+		for range 3 {
+			<-s.started
+		}
+		release()
+		requireAnswer(t, in, http.StatusBadGateway, "Broken")
+		requireAnswer(t, in, http.StatusOK, "to /b")
+		requireAnswer(t, in, http.StatusOK, "to /c")
+	})
+	t.Run("NoneIsStartedBehindOneThatIsStreamed", func(t *testing.T) {
+		s := startServer(t)
+		body, feed := io.Pipe()
+		s.streamed["/long"] = body
+		conn, in := s.dial()
+		_, err := io.WriteString(conn, get("/long"))
+		require.NoError(t, err)
+		_, err = io.WriteString(feed, "x")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, get("/b"))
+		require.NoError(t, err)
+		require.Equal(t, "/long", <-s.started)
+		require.Never(t, func() bool { return len(s.started) > 0 }, 100*time.Millisecond, 5*time.Millisecond)
+		require.NoError(t, feed.Close())
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, "x", string(text))
+		requireAnswer(t, in, http.StatusOK, "to /b")
+	})
+	t.Run("CloseBehindOneThatIsStreamedIsSeen", func(t *testing.T) {
+		s := startServer(t)
+		body, feed := io.Pipe()
+		s.streamed["/long"] = body
+		conn, in := s.dial()
+		_, err := io.WriteString(conn, get("/long"))
+		require.NoError(t, err)
+		_, err = io.WriteString(feed, "x")
+		require.NoError(t, err)
+		_, err = http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, get("/b"))
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		require.Equal(t, "/long", <-s.started)
+		require.Equal(t, "/long", <-s.ended)
+		_ = feed.Close()
+	})
+	t.Run("TooLongToBeHeld", func(t *testing.T) {
+		const long = 3 << 20
+		s := startServer(t)
+		s.streamed["/long"] = source(long, io.EOF)
+		release := s.block("/long")
+		conn, in := s.dial()
+		_, err := io.WriteString(conn, get("/long")+get("/b"))
+		require.NoError(t, err)
+		<-s.started
+		<-s.started
+		release()
+		response, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, text, long)
+		requireAnswer(t, in, http.StatusOK, "to /b")
+	})
+}
+
 func TestDrain(t *testing.T) {
 	t.Run("IdleConnectionsEnd", func(t *testing.T) {
 		s := startServer(t)
--- a/transport/acceptor/connection.go
+++ b/transport/acceptor/connection.go
@@ -52,10 +52,15 @@
 	pending atomic.Int64
 	// idleSince is when the last answer was written, as a Unix time in ns.
 	idleSince atomic.Int64
-	// mu guards reading, so that an idle connection is closed only between requests.
+	// mu guards reading, taking and streaming, so that an idle connection is closed only
+	// between requests, and no request is started behind an answer that is being streamed.
 	mu sync.Mutex
 	// reading is set from the first byte of a request until the next one is awaited.
 	reading bool
+	// taking is set from when a request may be started until the next one is awaited.
+	taking bool
+	// streaming is set while a streamed answer is being written.
+	streaming bool
 	// served is set once a request was read. Only the reading goroutine uses it.
 	served bool
 }
@@ -122,7 +127,7 @@
 func (c *connection) awaitRequest() error {
 	for {
 		c.mu.Lock()
-		c.reading = false
+		c.reading, c.taking = false, false
 		c.mu.Unlock()
 		if c.served && c.acceptor.draining.Load() && c.in.Buffered() == 0 && c.pending.Load() == 0 {
 			return errIdle
@@ -133,7 +138,7 @@
 			c.mu.Lock()
 			c.reading = true
 			c.mu.Unlock()
-			return nil
+			return c.beginTaking()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err //nolint:wrapcheck // only its presence counts
@@ -284,7 +289,7 @@
 		}
 		<-slot.ready
 		if open {
-			open = c.flush(func() error { return c.writeAnswer(slot) })
+			open = c.writeSlot(slot)
 		} else {
 			_ = slot.response.CloseBodyStream()
 		}
@@ -299,6 +304,17 @@
 	}
 }
 
+// writeSlot writes one answer and reports whether the connection is still open.
+func (c *connection) writeSlot(slot *answerSlot) bool {
+	if slot.response.IsBodyStream() {
+		if c.beginStream() {
+			slot.response = c.hold(slot)
+		}
+		defer c.endStream()
+	}
+	return c.flush(func() error { return c.writeAnswer(slot) })
+}
+
 // updateIdleDeadline resets the read deadline of a connection that has become idle, which
 // makes a waiting reader recompute its idle time.
 func (c *connection) updateIdleDeadline() {
--- a/transport/router/respond.go
+++ b/transport/router/respond.go
@@ -97,6 +97,18 @@
 	return r.refuse(request, *notRun(status, reason))
 }
 
+// answerBroken returns the answer to a request whose own answer broke off before any of it
+// was sent. The request itself was logged and counted when that happened.
+func (r *Router) answerBroken(header *protocol.RequestHeader) *protocol.Response {
+	options, err := r.deps.Callers.Read(header)
+	if err != nil {
+		r.deps.Log.Debug("MarksUnread", "Error", err)
+	}
+	return r.refusalResponse(options.ID, refusal{
+		status: consts.StatusBadGateway, outcome: answerer.OutcomeUnknown, reason: "AnswerCutOff",
+	})
+}
+
 // respond turns a reply into the HTTP response for the caller.
 func (r *Router) respond(request *callerRequest, reply reply) *protocol.Response {
 	if reply.refused != nil {
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -84,6 +84,7 @@
 		Limits:    func() cataloger.Limits { return deps.Catalog().Limits() },
 		Handle:    r.serveContained,
 		Malformed: r.refuseMalformed,
+		Broken:    r.answerBroken,
 	})
 	return r
 }
