soaker, responder: Delay heartbeats, deregister, and kill after a leave

One heartbeat in ten is late by up to 3 s now, and a new kind of event lets a server leave and kills its process twice. Replacements of one server no longer overlap: the second one used to start a server on an address in use.

--- a/standins/responder/responder.go
+++ b/standins/responder/responder.go
@@ -25,7 +25,9 @@
 const (
 	heartbeatPeriod  = 300 * time.Millisecond
 	heartbeatTimeout = time.Second
-	maxBodyBytes     = 64 << 20
+	// maxHeartbeatDelay bounds the delay of late heartbeats.
+	maxHeartbeatDelay = 3 * time.Second
+	maxBodyBytes      = 64 << 20
 )
 
 // Fault describes how a server fails. The zero value injects no fault.
@@ -53,6 +55,9 @@
 	Slots int
 	// ServiceTime is the mean time to execute one request.
 	ServiceTime time.Duration
+	// LateShare is the share of heartbeats that arrive late, by up to maxHeartbeatDelay,
+	// also after the server's end.
+	LateShare float64
 	// AnnounceAddress is the IP:port to which the proxy process on the same VM takes
 	// heartbeats.
 	AnnounceAddress string
@@ -82,12 +87,14 @@
 	started time.Time
 	slots   chan struct{}
 
-	mu                sync.Mutex
-	fault             Fault
-	draining          bool
+	mu       sync.Mutex
+	fault    Fault
+	draining bool
+	// deregistering is set if the server leaves by a deregistration.
+	deregistering     bool
 	heartbeatSequence uint64
-	// leaveAcknowledged is when the proxy process first acknowledged a heartbeat with
-	// the state "draining".
+	// leaveAcknowledged is when the proxy process first acknowledged that the server
+	// leaves.
 	leaveAcknowledged time.Time
 }
 
@@ -143,8 +150,16 @@
 	r.draining = true
 }
 
+// Deregister makes the server deregister itself in place of its further heartbeats. The
+// server goes on serving.
+func (r *Responder) Deregister() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deregistering = true
+}
+
 // LeaveAcknowledged returns when the proxy process first acknowledged that the server
-// is draining, or the zero time if it has not.
+// leaves, or the zero time if it has not.
 func (r *Responder) LeaveAcknowledged() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -173,16 +188,20 @@
 	}
 }
 
-// sendHeartbeat sends one heartbeat. Errors are ignored: the next heartbeat follows
-// after heartbeatPeriod.
+// sendHeartbeat sends one heartbeat, at once or late, or the deregistration of a server
+// that leaves so. Errors are ignored: the next call follows after heartbeatPeriod.
 func (r *Responder) sendHeartbeat() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leaveAcknowledged.IsZero() && r.deregistering {
+		return
+	}
 	r.heartbeatSequence++
 	state := "ready"
 	if r.draining {
 		state = "draining"
 	}
-	heartbeat := map[string]any{
+	method, content := consts.MethodPut, map[string]any{
 		"address": r.address,
 		"born":    r.started.UnixMilli(),
 		"info": map[string]any{
@@ -190,22 +209,35 @@
 		},
 		"status": map[string]any{"state": state, "seq": r.heartbeatSequence, "warmupLeft": "0ms"},
 	}
-	r.mu.Unlock()
-	body, err := json.Marshal(heartbeat)
+	if r.deregistering {
+		method, content = consts.MethodDelete, map[string]any{"born": r.started.UnixMilli()}
+	}
+	body, err := json.Marshal(content)
 	if err != nil {
 		return
 	}
+	delay := time.Duration(0)
+	if rand.Float64() < r.options.LateShare {
+		delay = time.Duration(rand.Int64N(int64(maxHeartbeatDelay)))
+	}
+	leaving := r.draining || r.deregistering
+	time.AfterFunc(delay, func() { r.announce(method, body, leaving) })
+}
+
+// announce makes one call to the proxy process and records the acknowledgement of a leave.
+func (r *Responder) announce(method string, body []byte, leaving bool) {
 	request, response := &protocol.Request{}, &protocol.Response{}
-	request.SetMethod(consts.MethodPut)
+	request.SetMethod(method)
 	request.SetRequestURI("http://" + r.options.AnnounceAddress + "/instances/" + r.options.ID)
 	request.SetBody(body)
-	err = r.client.DoTimeout(context.Background(), request, response, heartbeatTimeout)
-	if err == nil && response.StatusCode() == consts.StatusOK && state == "draining" {
-		r.mu.Lock()
-		if r.leaveAcknowledged.IsZero() {
-			r.leaveAcknowledged = time.Now()
-		}
-		r.mu.Unlock()
+	err := r.client.DoTimeout(context.Background(), request, response, heartbeatTimeout)
+	if err != nil || response.StatusCode() != consts.StatusOK || !leaving {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaveAcknowledged.IsZero() {
+		r.leaveAcknowledged = time.Now()
 	}
 }
 
--- a/standins/soaker/fleet.go
+++ b/standins/soaker/fleet.go
@@ -34,6 +34,8 @@
 	stopLimit       = 6 * time.Second
 	serverSlots     = 4
 	meanServiceTime = 60 * time.Millisecond
+	// lateShare is the share of late heartbeats.
+	lateShare = 0.1
 )
 
 // vm simulates one VM: a proxy process, its backend server, and the relay
@@ -51,6 +53,19 @@
 	crashes    []time.Time
 	server     *responder.Responder
 	serverRuns int
+	// replacing is set while the server leaves and is replaced.
+	replacing bool
+}
+
+// beginReplacement returns the server that is to be replaced, nil if it is already.
+func (v *vm) beginReplacement() *responder.Responder {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.replacing {
+		return nil
+	}
+	v.replacing = true
+	return v.server
 }
 
 // fleet is the set of VMs and the metadata store that they share.
@@ -206,7 +221,7 @@
 	v.serverRuns++
 	server, err := responder.New(fmt.Sprintf("%s:%d", v.ip, serverPort), responder.Options{
 		ID: fmt.Sprintf("i-%d-%d", v.index, v.serverRuns), Service: v.service(), Zone: v.zone, Slots: serverSlots,
-		ServiceTime: meanServiceTime, AnnounceAddress: fmt.Sprintf("%s:%d", v.ip, announcePort), OnRun: f.checker.recordRun,
+		ServiceTime: meanServiceTime, LateShare: lateShare, AnnounceAddress: fmt.Sprintf("%s:%d", v.ip, announcePort), OnRun: f.checker.recordRun,
 	})
 	if err != nil {
 		return fmt.Errorf("starting a backend server: %w", err)
@@ -219,11 +234,48 @@
 // replaceServer drains the VM's backend server, closes it, and starts another at
 // the same address.
 func (f *fleet) replaceServer(ctx context.Context, v *vm) {
-	v.mu.Lock()
-	old := v.server
-	v.mu.Unlock()
+	old := v.beginReplacement()
+	if old == nil {
+		return
+	}
 	old.Drain()
 	time.Sleep(drainDuration)
+	f.endServer(ctx, old, v)
+}
+
+// drainDuration is how long a server keeps running after it starts to drain.
+const drainDuration = 2500 * time.Millisecond
+
+// leaveAndKill makes the VM's backend server leave, by a deregistration if its run is an
+// odd one, kills the process twice once that is acknowledged, and replaces the server.
+func (f *fleet) leaveAndKill(ctx context.Context, v *vm) {
+	old := v.beginReplacement()
+	if old == nil {
+		return
+	}
+	if v.serverRuns%2 == 1 {
+		old.Deregister()
+	} else {
+		old.Drain()
+	}
+	end := time.Now().Add(leaveDuration)
+	for old.LeaveAcknowledged().IsZero() && time.Now().Before(end) {
+		time.Sleep(restartDelay / 10)
+	}
+	for range 2 {
+		v.recordCrash()
+		v.signal(syscall.SIGKILL)
+		time.Sleep(5 * restartDelay)
+	}
+	time.Sleep(time.Until(end))
+	f.endServer(ctx, old, v)
+}
+
+// leaveDuration is how long a server keeps running after it starts to leave in leaveAndKill.
+const leaveDuration = 6 * time.Second
+
+// endServer closes a server that has left and starts another at the same address.
+func (f *fleet) endServer(ctx context.Context, old *responder.Responder, v *vm) {
 	f.mu.Lock()
 	f.drained = append(f.drained, old)
 	f.mu.Unlock()
@@ -231,11 +283,11 @@
 	if err := f.startServer(ctx, v); err != nil {
 		f.checker.addViolation("Server", err.Error())
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.replacing = false
 }
 
-// drainDuration is how long a server keeps running after it starts to drain.
-const drainDuration = 2500 * time.Millisecond
-
 // routeSpec is the specification of a route in the platform's configuration format.
 type routeSpec struct {
 	Host          string `json:"host"`
--- a/standins/soaker/plan.go
+++ b/standins/soaker/plan.go
@@ -36,6 +36,7 @@
 	KindLostAnswers      Kind = "ServerLosesAnswers"
 	KindNoHeartbeats     Kind = "ServerMute"
 	KindDrain            Kind = "ServerDrains"
+	KindLeaveAndKill     Kind = "ServerLeavesAndKill"
 	KindPublish          Kind = "Publish"
 )
 
@@ -98,6 +99,7 @@
 		plan = append(plan, Event{At: at, Length: length, Kind: kinds[random.IntN(len(kinds))], VM: random.IntN(vms)})
 	}
 	plan = append(plan, drawSilences(seed, activeTime, vms)...)
+	plan = append(plan, drawLeaves(seed, activeTime, vms)...)
 	sort.Slice(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
 	return plan
 }
@@ -116,3 +118,19 @@
 	}
 	return silences
 }
+
+// leavesPerSecond is the mean rate of leaves with kills.
+const leavesPerSecond = 0.15
+
+// drawLeaves draws the events in which a server leaves and its process is killed after it
+// acknowledged that.
+func drawLeaves(seed uint64, activeTime time.Duration, vms int) Plan {
+	random := rand.New(rand.NewPCG(^seed, seed)) //nolint:gosec // plans must repeat
+	count := int(leavesPerSecond * activeTime.Seconds())
+	leaves := make(Plan, 0, count)
+	for range count {
+		at := time.Duration(random.Int64N(int64(activeTime - leaveDuration)))
+		leaves = append(leaves, Event{At: at, Kind: KindLeaveAndKill, VM: random.IntN(vms)})
+	}
+	return leaves
+}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -189,6 +189,8 @@
 		}
 	case KindDrain:
 		go f.replaceServer(ctx, v)
+	case KindLeaveAndKill:
+		go f.leaveAndKill(ctx, v)
 	case KindCutOneWay, KindCutBoth, KindReset, KindSilence, KindDelay:
 		return f.injectLinkFault(event, v)
 	case KindErrors, KindShed, KindSlow, KindLostAnswers, KindNoHeartbeats:
