--- a/standins/soaker/fleet.go
+++ b/standins/soaker/fleet.go
@@ -221,7 +221,8 @@
 	v.serverRuns++
 	server, err := responder.New(fmt.Sprintf("%s:%d", v.ip, serverPort), responder.Options{
 		ID: fmt.Sprintf("i-%d-%d", v.index, v.serverRuns), Service: v.service(), Zone: v.zone, Slots: serverSlots,
-		ServiceTime: meanServiceTime, LateShare: lateShare, AnnounceAddress: fmt.Sprintf("%s:%d", v.ip, announcePort), OnRun: f.checker.recordRun,
+		ServiceTime: meanServiceTime, LateShare: lateShare,
+		AnnounceAddress: fmt.Sprintf("%s:%d", v.ip, announcePort), OnRun: f.checker.recordRun,
 	})
 	if err != nil {
 		return fmt.Errorf("starting a backend server: %w", err)
