runner: Tell and ask the peers that know of a departure

Cause: with the store away, peers decide whether the server had left. The entry of the killed process without its service reached one peer of another zone only, which does not tell it on, and the process between the two kills, which had read the departure, did not change its own entry. The second restart found the entry from before the departure.

Ruled out: the store's record, which the first restart read.

Change: before the acknowledgement three peers are told, those of the own zone first. A process that recalls a departure raises the version of its entry. A restarted process asks five peers for all their entries instead of relying on what has arrived.

Test: TestRuledOut/SecondProcessRecalledTheLeave and TestWitnesses; neither ran on the code before, whose function has another form.

--- a/coordination/enroller/predecessor.go
+++ b/coordination/enroller/predecessor.go
@@ -1,27 +1,48 @@
 package enroller
 
-import "github.com/foxtailhall/foxtailhall/state/registrar"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/foxtailhall/foxtailhall/state/registrar"
+)
 
 // FirstVersion is the version of a roster entry that its process has never changed.
 const FirstVersion = 1
 
-// RuledOut reports whether the entries of a roster show that no announcement can be late
-// that a run of the service's server at the address of self sent before it left. They do
-// if the last process there with a server had one of the service when it ended, since a
-// process whose server has left has none. They also do if no earlier process is known
-// there, but a live member with an incarnation below longRunning, which would know it.
-func RuledOut(self registrar.Member, service string, members []registrar.Member, longRunning uint64) bool {
+// Witnesses returns up to count live members that are told of a departure, or asked about
+// one: those of the own availability zone first, and the longest running ones of these.
+func Witnesses(self registrar.Member, members []registrar.Member, count int) []registrar.Member {
+	live := slices.DeleteFunc(slices.Clone(members), func(member registrar.Member) bool {
+		return !member.State.Live() || member.Incarnation == self.Incarnation
+	})
+	far := func(member registrar.Member) int {
+		if member.Zone == self.Zone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(live, func(a, b registrar.Member) int {
+		return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return live[:min(count, len(live))]
+}
+
+// RuledOut reports whether the entries that other members know show that no announcement
+// can be late that a run of the service's server at the address of self sent before it
+// left. They do if the last process there with a server had one of the service when it
+// ended, since a process whose server has left has none, or if there was no such process.
+// It returns the entry of that process.
+func RuledOut(self registrar.Member, service string, members []registrar.Member) (registrar.Member, bool) {
 	var last registrar.Member
-	known := false
 	for _, member := range members {
-		known = known || member.State.Live() && member.Incarnation < longRunning
 		earlier := member.Address == self.Address && member.Incarnation < self.Incarnation
 		if earlier && member.Version > FirstVersion && member.Incarnation > last.Incarnation {
 			last = member
 		}
 	}
 	if last.Incarnation == 0 {
-		return known
+		return last, true
 	}
-	return service != "" && last.Service == service
+	return last, service != "" && last.Service == service
 }
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -176,6 +176,11 @@
 	return g.ping(now, member)
 }
 
+// FullPingTo returns a ping to a member that asks for all entries that this one lacks.
+func (g *Gossiper) FullPingTo(now clocker.Instant, member registrar.Member) Ping {
+	return pingWith(member, g.message(now, member, true))
+}
+
 func (g *Gossiper) ping(now clocker.Instant, target registrar.Member) Ping {
 	return pingWith(target, g.message(now, target, false))
 }
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
 
@@ -20,30 +22,44 @@
 	if !announcement.Leaving || departure.ID != announcement.ID {
 		return nil
 	}
-	r.urgent.Store(true)
 	if err := r.departures.await(departure); err != nil {
 		return err
 	}
-	r.awaitSpread(r.self.Load().Version)
+	r.tellNearPeers()
 	return nil
 }
 
 const (
-	// maxSpreadWait bounds the wait until another process knows that the server left. The
-	// Source knows it by then.
-	maxSpreadWait = 300 * time.Millisecond
-	// spreadCheckPeriod is how often that is checked.
-	spreadCheckPeriod = 5 * time.Millisecond
+	// maxTellTime bounds the wait until peers know that the server left. The Source knows it
+	// by then.
+	maxTellTime = 300 * time.Millisecond
+	// toldPeers is how many peers are told, those of the own availability zone first: only
+	// they tell other zones.
+	toldPeers = 3
+	// askedPeers is how many are asked.
+	askedPeers = 5
 	// spreadTime is how long after its start a process relies on what peers know of the one
 	// before it. What one of them learned has reached the others by then.
 	spreadTime = time.Second
 )
 
-// awaitSpread waits until another process has a version of the own entry.
-func (r *Runner) awaitSpread(version uint64) {
-	for end := r.now().Add(maxSpreadWait); r.selfAcked.Load() < version && !r.alone() && r.now().Since(end) < 0; {
-		time.Sleep(spreadCheckPeriod)
+// tellNearPeers sends the own entry to some peers and waits for their replies.
+func (r *Runner) tellNearPeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), maxTellTime)
+	defer cancel()
+	var told sync.WaitGroup
+	for _, peer := range enroller.Witnesses(*r.self.Load(), r.roster.Load().Members(), toldPeers) {
+		told.Go(func() {
+			ping := r.pingTo(peer)
+			reply, err := r.exchangeGossip(ctx, ping)
+			if err != nil {
+				r.deps.Log.Debug("PingFailed", "Address", peer.Address, "Error", err)
+				return
+			}
+			r.handleAck(context.Background(), ping, reply)
+		})
 	}
+	told.Wait()
 }
 
 // heldAnnouncement is an announcement that may be from a run that has left.
@@ -93,19 +109,52 @@
 }
 
 // checkPredecessor applies the held announcement if peers show that it is not from a run
-// that has left.
-func (r *Runner) checkPredecessor() {
-	held := r.held.Load()
-	if held == nil || r.now().Mono < spreadTime {
+// that has left. Peers are asked for all that they know first.
+func (r *Runner) checkPredecessor(ctx context.Context) {
+	if r.held.Load() == nil || r.now().Mono < spreadTime || !r.asking.CompareAndSwap(false, true) {
 		return
 	}
+	defer r.asking.Store(false)
 	longRunning := uint64(r.started.Add(-enroller.MaxDelay).UnixMilli()) << incarnationRandomBits
-	if enroller.RuledOut(*r.self.Load(), held.announcement.Service, r.roster.Load().Members(), longRunning) {
-		r.deps.Log.Info("DepartureRuledOut", "Server", held.announcement.ID)
+	asked, askedLongRunning := 0, 0
+	for _, peer := range enroller.Witnesses(*r.self.Load(), r.roster.Load().Members(), askedPeers) {
+		if !r.askForAll(ctx, peer) {
+			continue
+		}
+		asked++
+		if peer.Incarnation < longRunning {
+			askedLongRunning++
+		}
+	}
+	held := r.held.Load()
+	if asked == 0 || held == nil {
+		return
+	}
+	last, ruledOut := enroller.RuledOut(*r.self.Load(), held.announcement.Service, r.roster.Load().Members())
+	// Only a member that has run for long enough knows that there was no earlier process.
+	if ruledOut && (last.Incarnation > 0 || askedLongRunning > 0) {
+		r.deps.Log.Info("DepartureRuledOut", "Server", held.announcement.ID, "Asked", asked,
+			"Predecessor", last.Incarnation, "Version", last.Version, "Service", last.Service)
 		r.handleDeparture(enroller.Departure{})
 	}
 }
 
+// askForAll merges all entries of a peer's roster and reports whether it replied.
+func (r *Runner) askForAll(ctx context.Context, peer registrar.Member) bool {
+	r.gossipMu.Lock()
+	ping := r.gossip.FullPingTo(r.now(), peer)
+	r.gossipMu.Unlock()
+	reply, err := r.exchangeGossip(ctx, ping)
+	if err != nil || reply.Sender.Incarnation != peer.Incarnation || !reply.Full {
+		return false
+	}
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	r.gossip.Acked(r.now(), reply)
+	r.publishRoster()
+	return true
+}
+
 // handleLeavingAnswer retires a run whose answers say that it is shutting down, whether or
 // not its announcement of that arrives.
 func (r *Runner) handleLeavingAnswer(run string, startedMs int64) {
@@ -137,6 +186,7 @@
 		if err := r.guard.Retire(departure.ID); err != nil {
 			r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
 		}
+		r.renewMemberStatus()
 	}
 	if held := r.held.Swap(nil); held != nil {
 		announcement := held.announcement
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -133,21 +133,13 @@
 	r.gossipMu.Unlock()
 	r.recordWarnings(warnings)
 	r.recordContact(ping.Incarnation)
-	r.recordSelfAcked(ping.Message.Sender.Version)
-	r.checkPredecessor()
+	r.checkPredecessor(ctx)
 	r.fetchIfNewer(ctx, ping.Address, reply.ConfigVersion)
 	for _, next := range more {
 		go r.ping(ctx, next)
 	}
 }
 
-// recordSelfAcked records that another process has a version of the own entry.
-func (r *Runner) recordSelfAcked(version uint64) {
-	for known := r.selfAcked.Load(); known < version && !r.selfAcked.CompareAndSwap(known, version); {
-		known = r.selfAcked.Load()
-	}
-}
-
 // countPeerBytes counts the bytes of a message to or from another process, by the
 // call and by whether it crosses the border of the own availability zone.
 func (r *Runner) countPeerBytes(address, method string, bytes int) {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -101,8 +101,8 @@
 	// known, if there is one.
 	held       atomic.Pointer[heldAnnouncement]
 	departures *departures
-	// selfAcked is the highest version of the own entry that another process has.
-	selfAcked atomic.Uint64
+	// asking is set while peers are asked about the process before this one.
+	asking atomic.Bool
 	// maxKnownServers is the largest number of servers known at the same time, by
 	// service. Only the goroutine of refreshServiceTable uses it.
 	maxKnownServers map[string]int
