--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -33,22 +33,25 @@
 	return &Requester{forwarder: client}
 }
 
-// Do sends a request once and returns the status and body of its answer. After an error
+// Do sends a request once and returns its answer with the whole body. After an error
 // the request may still be handled, unless the error is forwarder.ErrNotSent.
-func (r *Requester) Do(ctx context.Context, request *protocol.Request) (status int, body []byte, err error) {
+func (r *Requester) Do(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
 	exchange, err := r.forwarder.Send(ctx, request, accept, func() {})
 	if err != nil {
-		return 0, nil, fmt.Errorf("calling: %w", err)
+		return nil, fmt.Errorf("calling: %w", err)
 	}
 	defer exchange.Close()
-	body, err = io.ReadAll(io.LimitReader(exchange, maxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(exchange, maxBodyBytes+1))
 	if err != nil {
-		return 0, nil, fmt.Errorf("reading the answer: %w", err)
+		return nil, fmt.Errorf("reading the answer: %w", err)
 	}
 	if len(body) > maxBodyBytes {
-		return 0, nil, errBodyTooLong
+		return nil, errBodyTooLong
 	}
-	return exchange.Response.StatusCode(), body, nil
+	answer := &protocol.Response{}
+	exchange.Response.Header.CopyTo(&answer.Header)
+	answer.SetBodyRaw(body)
+	return answer, nil
 }
 
 // accept takes every answer: calls have no ID by which to tell them apart.
