--- a/proofs/departures_test.go
+++ b/proofs/departures_test.go
@@ -252,3 +252,66 @@
 		})
 	}
 }
+
+// TestOlderStoresForgetNoDeparture guards against new work for a server whose leave was
+// acknowledged, when the store comes back from a copy without it and the process is killed.
+func TestOlderStoresForgetNoDeparture(t *testing.T) {
+	const (
+		away = 1200 * time.Millisecond
+		age  = 5 * time.Second
+	)
+	restore := func(f *leavingFleet) {
+		f.store.SetFault(storer.Fault{Down: true})
+		f.store.Restore(age)
+		time.Sleep(away)
+		f.store.Publish([]byte(leavingConfiguration))
+		f.store.SetFault(storer.Fault{})
+	}
+	restart := func(f *leavingFleet, sequence int) {
+		f.kill(0)
+		f.start(0)
+		f.announce("ready", sequence)
+		time.Sleep(lateDelay)
+		f.announce("ready", sequence+1)
+	}
+	t.Run("KilledLater", func(t *testing.T) {
+		f := startLeavingFleet(t, 140)
+		last := f.putInService(0)
+		require.Equal(t, http.StatusOK, f.deregister(""))
+		restore(f)
+		time.Sleep(4 * time.Second)
+		require.NotEmpty(t, f.store.Keys("keyed.departures"), "the departure is not written again")
+		restart(f, last+1)
+		f.requireNoWork("after a kill later than the store's return")
+	})
+	t.Run("KilledAtOnce", func(t *testing.T) {
+		f := startLeavingFleet(t, 141)
+		last := f.putInService(0)
+		require.Equal(t, http.StatusOK, f.deregister(""))
+		f.kill(0)
+		restore(f)
+		restart(f, last+1)
+		f.requireNoWork("after a kill before the store's return")
+	})
+	t.Run("InServiceAgain", func(t *testing.T) {
+		f := startLeavingFleet(t, 142)
+		last := f.putInService(0)
+		restore(f)
+		for range 2 {
+			f.kill(0)
+			f.start(0)
+			last = f.putInService(last)
+		}
+	})
+}
+
+// TestProcessesAreFoundAfterAnOlderStore guards against processes that the list in the store
+// lacks once it came back from a copy without them.
+func TestProcessesAreFoundAfterAnOlderStore(t *testing.T) {
+	f := startLeavingFleet(t, 143)
+	require.Eventually(t, func() bool { return len(f.store.Keys("keyed.members")) == len(f.procs) }, 5*time.Second, 50*time.Millisecond)
+	f.store.Restore(time.Minute)
+	f.store.Publish([]byte(leavingConfiguration))
+	require.Eventually(t, func() bool { return len(f.store.Keys("keyed.members")) == len(f.procs) }, 8*time.Second, 50*time.Millisecond,
+		"the processes are not registered again")
+}
--- a/standins/storer/storer.go
+++ b/standins/storer/storer.go
@@ -1,6 +1,7 @@
 // Package storer is a stand-in for the users' metadata store. It keeps topics of
 // keyed records in memory, serves them by offset with long polls, and can truncate
-// topics, refuse calls, and lose or delay replies.
+// topics, refuse calls, leave them unanswered, lose or delay replies, execute writes late,
+// and come back from an older copy of its records.
 package storer
 
 import (
@@ -8,7 +9,9 @@
 	"encoding/base64"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -29,26 +32,49 @@
 	maxPageKeys = 500
 	// maxPollWait bounds the time of a long poll.
 	maxPollWait = 30 * time.Second
+	// maxWriteDelay bounds the delay of writes that are executed late.
+	maxWriteDelay = 6 * time.Second
 	// operatorTopic holds the configuration. Only Publish writes it.
 	operatorTopic = "keyed.op"
+	// headerEra numbers the copies of the records that the store has run on.
+	headerEra = "Store-Era"
 )
 
 // Fault describes how calls fail. The zero value injects no fault.
 type Fault struct {
-	// Down refuses all calls with 503. Silent never answers: it closes the connection
-	// after maxPollWait.
+	// Down refuses all calls with 503. Silent never answers, nor does it later answer the
+	// calls that were open meanwhile: it closes their connections after maxPollWait.
 	Down, Silent bool
 	// Delay is added before each call is handled.
 	Delay time.Duration
-	// LostReplyShare is the share of writes that take effect but get no answer.
-	LostReplyShare float64
+	// LostReplyShare is the share of writes that take effect but get no answer, and
+	// LateWriteShare that of writes that take effect up to maxWriteDelay later and get none.
+	LostReplyShare, LateWriteShare float64
 	// RefusedIPs holds the IP addresses whose calls are refused with 503.
 	RefusedIPs map[string]bool
 }
 
+// With returns the fault that has the effects of both.
+func (f Fault) With(other Fault) Fault {
+	f.Down = f.Down || other.Down
+	f.Silent = f.Silent || other.Silent
+	f.Delay = max(f.Delay, other.Delay)
+	f.LostReplyShare = max(f.LostReplyShare, other.LostReplyShare)
+	f.LateWriteShare = max(f.LateWriteShare, other.LateWriteShare)
+	refused := maps.Clone(f.RefusedIPs)
+	if refused == nil {
+		refused = map[string]bool{}
+	}
+	maps.Copy(refused, other.RefusedIPs)
+	f.RefusedIPs = refused
+	return f
+}
+
 type record struct {
 	key   string
 	value []byte
+	// at is when the record was appended.
+	at time.Time
 }
 
 type topic struct {
@@ -68,11 +94,15 @@
 	mu     sync.Mutex
 	topics map[string]*topic
 	fault  Fault
+	// silences counts the faults that made the store silent.
+	silences int
+	// era rises with each restore.
+	era int
 }
 
 // New returns a store that listens on an IP:port once Run is called.
 func New(address string) *Storer {
-	s := &Storer{topics: map[string]*topic{}}
+	s := &Storer{topics: map[string]*topic{}, era: 1}
 	s.server = server.New(
 		server.WithHostPorts(address),
 		server.WithTransport(standard.NewTransporter),
@@ -104,9 +134,37 @@
 func (s *Storer) SetFault(fault Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if fault.Silent && !s.fault.Silent {
+		s.silences++
+	}
 	s.fault = fault
 }
 
+// Restore replaces the records by a copy of a given age: what was written since is lost,
+// and its offsets are given out again. Open calls get no answer. It returns the lost
+// configurations, which the operator is to publish again.
+func (s *Storer) Restore(age time.Duration) (lost [][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	copied := time.Now().Add(-age)
+	for name, t := range s.topics {
+		kept := len(t.records)
+		for kept > 0 && t.records[kept-1].at.After(copied) {
+			kept--
+			if name == operatorTopic {
+				lost = append(lost, t.records[kept].value)
+			}
+		}
+		t.records = t.records[:kept]
+		t.firstOffset = min(t.firstOffset, kept)
+		close(t.appended)
+		t.appended = make(chan struct{})
+	}
+	slices.Reverse(lost)
+	return lost
+}
+
 // Truncate makes all present records of a topic unreadable by offset, as retention
 // does. The newest value of each key can still be read.
 func (s *Storer) Truncate(name string) {
@@ -150,6 +208,9 @@
 func (s *Storer) appendRecords(name string, records []record) int {
 	t := s.topic(name)
 	offset := len(t.records)
+	for i := range records {
+		records[i].at = time.Now()
+	}
 	t.records = append(t.records, records...)
 	close(t.appended)
 	t.appended = make(chan struct{})
@@ -170,22 +231,32 @@
 func (s *Storer) withFault(handle func(*app.RequestContext)) app.HandlerFunc {
 	return func(_ context.Context, c *app.RequestContext) {
 		s.mu.Lock()
-		fault := s.fault
+		fault, silences, era := s.fault, s.silences, s.era
 		s.mu.Unlock()
+		c.Header(headerEra, strconv.Itoa(era))
 		host, _, _ := strings.Cut(c.RemoteAddr().String(), ":")
 		time.Sleep(fault.Delay)
+		refused := fault.Down || fault.RefusedIPs[host]
 		switch {
 		case fault.Silent:
-			time.Sleep(maxPollWait)
-			c.Abort()
-			_ = c.GetConn().Close()
-			return
-		case fault.Down || fault.RefusedIPs[host]:
+		case refused:
 			c.SetStatusCode(consts.StatusServiceUnavailable)
+		case c.IsPost() && rand.Float64() < fault.LateWriteShare:
+			time.Sleep(time.Second + rand.N(maxWriteDelay-time.Second))
+			handle(c)
+			_ = c.GetConn().Close()
 			return
+		default:
+			handle(c)
 		}
-		handle(c)
-		if c.IsPost() && rand.Float64() < fault.LostReplyShare {
+		s.mu.Lock()
+		silenced, restored := fault.Silent || s.silences != silences, s.era != era
+		s.mu.Unlock()
+		if silenced {
+			time.Sleep(maxPollWait)
+		}
+		if silenced || restored || !refused && c.IsPost() && rand.Float64() < fault.LostReplyShare {
+			c.Abort()
 			_ = c.GetConn().Close()
 		}
 	}
@@ -223,7 +294,7 @@
 }
 
 // read handles reads from an offset. It waits up to waitMs for a record, and answers
-// 410 with the first offset if the requested one was truncated.
+// 410 with the first offset if the requested one was truncated or not given out yet.
 func (s *Storer) read(c *app.RequestContext) {
 	from, err := strconv.Atoi(c.Query("from"))
 	if err != nil || from < 0 {
@@ -235,7 +306,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(c.Query("topic"))
-	if from < t.firstOffset {
+	if from < t.firstOffset || from > len(t.records) {
 		c.JSON(consts.StatusGone, map[string]int{"first": t.firstOffset})
 		return
 	}
@@ -248,16 +319,20 @@
 	c.Data(consts.StatusOK, "application/octet-stream", body)
 }
 
-// await waits until a topic has a record at an offset, or until the timeout.
+// await waits until a topic has a record at an offset, or until the timeout. It doesn't
+// wait for an offset beyond the next one, nor beyond a restore.
 func (s *Storer) await(name string, from int, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		t := s.topic(name)
-		available, appended := len(t.records) > from, t.appended
+		ended, appended := len(t.records) != from || s.era != era, t.appended
 		s.mu.Unlock()
-		if available {
+		if ended {
 			return
 		}
 		select {
