repeater, requester, platform, delegator: Repeat reads of the store that are overdue

Callers got 404 on confirmed routes, or the service of an older version, until some 6 s after a read had begun in a silence of the store (CONFIG). Cause: one read at a time, waited for until its own limit of 6 s, by all followers in step. A read waits 1 s for versions now (4 s before), is overdue after 1.5 s, and is then made again each 0.8 s while the earlier attempts stay open, so that neither a silent nor a slow store is read late. Other calls are overdue after 0.5 s.

Ruled out: late fetches and gossip; version 72 was in all 30 processes 0.14 s after the first follower had it.

--- a/coordination/delegator/delegator.go
+++ b/coordination/delegator/delegator.go
@@ -13,10 +13,11 @@
 	// followersPerZone is how many members of each zone follow the source.
 	followersPerZone = 3
 	// PollWait is how long a follower's read waits for a new version. Each read that
-	// returns shows that the source can be reached.
-	PollWait = 4 * time.Second
-	// PollSlack is the time allowed for a read in addition to PollWait.
-	PollSlack = 2 * time.Second
+	// returns shows that the source can be reached, and a longer wait would hide for longer
+	// that it can't.
+	PollWait = time.Second
+	// PollSlack is the time after PollWait from which on a read is overdue.
+	PollSlack = 500 * time.Millisecond
 	// confirmationTimeout is the age of the last successful read of any follower from
 	// which on others follow the source themselves.
 	confirmationTimeout = PollWait + PollSlack + 1500*time.Millisecond
--- /dev/null
+++ b/coordination/repeater/repeater_test.go
@@ -0,0 +1,49 @@
+package repeater_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/foxtailhall/foxtailhall/coordination/repeater"
+)
+
+var patience = repeater.Patience{Overdue: 1500 * time.Millisecond, Period: 800 * time.Millisecond, Limit: 4 * time.Second}
+
+// TestAttemptsGoOnWhileNoneIsAnswered guards against a call that waits for one attempt only,
+// which may hang though the other side answers new ones.
+func TestAttemptsGoOnWhileNoneIsAnswered(t *testing.T) {
+	call := repeater.New(patience)
+	var due []time.Duration
+	for {
+		at, ok := call.NextAt()
+		if !ok {
+			break
+		}
+		due = append(due, at)
+		call = call.WithAttempt()
+	}
+	require.Equal(t, []time.Duration{
+		0, 1500 * time.Millisecond, 2300 * time.Millisecond, 3100 * time.Millisecond, 3900 * time.Millisecond,
+	}, due)
+	require.Equal(t, len(due), call.Made())
+}
+
+func TestFailures(t *testing.T) {
+	t.Run("TheOnlyAttempt", func(t *testing.T) {
+		_, failed := repeater.New(patience).WithAttempt().WithFailure()
+		require.True(t, failed)
+	})
+	t.Run("WhileAnotherIsOpen", func(t *testing.T) {
+		call, failed := repeater.New(patience).WithAttempt().WithAttempt().WithFailure()
+		require.False(t, failed)
+		_, failed = call.WithFailure()
+		require.True(t, failed)
+	})
+	t.Run("OfACallThatIsNotRepeated", func(t *testing.T) {
+		call := repeater.New(repeater.Patience{Overdue: time.Second, Period: time.Second, Limit: time.Second}).WithAttempt()
+		_, ok := call.NextAt()
+		require.False(t, ok)
+	})
+}
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/rotisserie/eris"
 
+	"github.com/foxtailhall/foxtailhall/coordination/repeater"
 	"github.com/foxtailhall/foxtailhall/transport/forwarder"
 )
 
@@ -33,9 +34,59 @@
 	return &Requester{forwarder: client}
 }
 
-// Do sends a request once and returns its answer with the whole body. After an error
-// the request may still be handled, unless the error is forwarder.ErrNotSent.
-func (r *Requester) Do(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
+// Do sends a request until an attempt is answered, and returns that answer with its whole
+// body. Attempts overlap as patience says, so the request must be one that may be handled
+// more than once, also later, even if Do fails.
+func (r *Requester) Do(ctx context.Context, request *protocol.Request, patience repeater.Patience) (*protocol.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience.Limit)
+	defer cancel()
+	call, started := repeater.New(patience), time.Now()
+	results := make(chan result)
+	due := time.NewTimer(0)
+	defer due.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("calling: %w of %d ms, attempts: %d: %w",
+				repeater.ErrUnanswered, time.Since(started).Milliseconds(), call.Made(), ctx.Err())
+		case <-due.C:
+			call = call.WithAttempt()
+			copied := &protocol.Request{}
+			request.CopyTo(copied)
+			go r.attempt(ctx, copied, results)
+			if at, ok := call.NextAt(); ok {
+				due.Reset(at - time.Since(started))
+			}
+		case got := <-results:
+			if got.err == nil {
+				return got.answer, nil
+			}
+			var failed bool
+			if call, failed = call.WithFailure(); failed {
+				return nil, got.err
+			}
+		}
+	}
+}
+
+// result is the outcome of one attempt.
+type result struct {
+	answer *protocol.Response
+	err    error
+}
+
+// attempt sends a request once and passes on the outcome, unless the context
+// ends before.
+func (r *Requester) attempt(ctx context.Context, request *protocol.Request, results chan<- result) {
+	answer, err := r.send(ctx, request)
+	select {
+	case results <- result{answer: answer, err: err}:
+	case <-ctx.Done():
+	}
+}
+
+// send sends a request once.
+func (r *Requester) send(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
 	exchange, err := r.forwarder.Send(ctx, request, accept, func() {})
 	if err != nil {
 		return nil, fmt.Errorf("calling: %w", err)
