--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -34,10 +34,12 @@
 	return &Requester{forwarder: client}
 }
 
-// Do sends a request until an attempt is answered, and returns that answer with its whole
-// body. Attempts overlap as patience says, so the request must be one that may be handled
-// more than once, also later, even if Do fails.
-func (r *Requester) Do(ctx context.Context, request *protocol.Request, patience repeater.Patience) (*protocol.Response, error) {
+// Do sends a request, and repeated in its place until an attempt is answered. It returns
+// that answer with its whole body. Attempts overlap as patience says, so both requests must
+// be ones that may be handled more than once, also later, even if Do fails.
+func (r *Requester) Do(
+	ctx context.Context, request, repeated *protocol.Request, patience repeater.Patience,
+) (*protocol.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience.Limit)
 	defer cancel()
 	call, started := repeater.New(patience), time.Now()
@@ -51,9 +53,10 @@
 				repeater.ErrUnanswered, time.Since(started).Milliseconds(), call.Made(), ctx.Err())
 		case <-due.C:
 			call = call.WithAttempt()
-			copied := &protocol.Request{}
-			request.CopyTo(copied)
-			go r.attempt(ctx, copied, results)
+			sent := &protocol.Request{}
+			request.CopyTo(sent)
+			request = repeated
+			go r.attempt(ctx, sent, results)
 			if at, ok := call.NextAt(); ok {
 				due.Reset(at - time.Since(started))
 			}
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -57,6 +58,9 @@
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
 	before := r.catalog().Version()
+	if number == before && !bytes.Equal(text, r.sourceVersion.Load().text) {
+		r.deps.Log.Warn("VersionDiffers", "From", from, "Version", number)
+	}
 	if number <= before {
 		r.deps.Log.Debug("VersionNotNewer", "From", from, "Version", number, "InForce", before)
 		return
