gossiper: Let a restarted process learn of its gone predecessor

A server that had left got requests again where its process was restarted more than 2 s after it had been killed and the store could not tell of the departure (DRAIN). Cause: peers count the killed process as gone by then, and an unknown gone entry was refused, so that the restarted process never saw that its predecessor had no server. Such an entry is now taken if it is at the own address. Found by TestOlderStoresForgetNoDeparture/KilledAtOnce, whose log has Predecessor=0; TestGonePredecessorsAreLearned fails without the change.

--- a/coordination/gossiper/exchange_test.go
+++ b/coordination/gossiper/exchange_test.go
@@ -95,6 +95,26 @@
 	return changes, messages
 }
 
+// TestGonePredecessorsAreLearned guards against a restarted process that does not learn that
+// its server had left, since the others count the process before it as gone already.
+func TestGonePredecessorsAreLearned(t *testing.T) {
+	at := clocker.Instant{Mono: time.Hour}
+	before, stranger := zoned(0), zoned(3)
+	before.Service = ""
+	restarted := zoned(0)
+	restarted.Incarnation = 100
+	g := gossiper.New(restarted, nil, rand.New(rand.NewPCG(1, 1)).Uint64)
+	g.Acked(at, gossiper.Message{Sender: zoned(1), Full: true, Changes: []registrar.Member{
+		before.WithState(registrar.StateGone), stranger.WithState(registrar.StateGone),
+	}})
+	learned, ok := g.Roster().Member(before.Incarnation)
+	require.True(t, ok)
+	require.Empty(t, learned.Service)
+	require.Equal(t, registrar.StateGone, learned.State)
+	_, ok = g.Roster().Member(stranger.Incarnation)
+	require.False(t, ok, "gone members at other addresses are of no use")
+}
+
 func TestChangesBetweenZones(t *testing.T) {
 	changed := func(g *gossiper.Gossiper, members ...int) {
 		message := gossiper.Message{Sender: zoned(1)}
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -326,10 +326,12 @@
 	if ok && !member.Supersedes(known) {
 		return false
 	}
-	if !ok && member.State == registrar.StateGone {
+	// An earlier process at the own address shows whether its server had left.
+	predecessor := member.Address == g.self.Address
+	if !ok && member.State == registrar.StateGone && !predecessor {
 		return false
 	}
-	if member.Address == g.self.Address {
+	if predecessor {
 		member = member.WithState(registrar.StateGone)
 	}
 	g.roster = g.roster.WithMember(member)
