keeper, gossiper, runner, enroller: Write again what an older store may have lost

After a leave was acknowledged, its server got requests again (DRAIN) when the store came back from a copy without the departure and the process was killed; after a restore, the list of processes lacked those that had registered lately. Cause: an acknowledgement of the store was trusted for good.

- keeper decides when a value is written: when it changed, and in each later era of the store.
Departures and the addresses of processes use it.
- A restarted process whose store names an era holds announcements until a peer that runs for long says that the era did not rise in the last 8 s, or peers show that its predecessor had a server.
Without peers it waits 1.5 s.

Ruled out: that writing again is enough. A process that is killed before the store is back writes nothing; only its peers know of the departure.

--- a/coordination/delegator/delegator.go
+++ b/coordination/delegator/delegator.go
@@ -50,8 +50,9 @@
 type Follower struct {
 	// Apply is called with the text of each version.
 	Apply func(text []byte)
-	// Reached is called after each read that succeeded.
-	Reached func()
+	// Reached is called after each read that succeeded, with the era of the source's data,
+	// which rises when the source comes back from an older copy, or 0 if it is not known.
+	Reached func(era uint64)
 	// Wanted reports whether the process follows the source at the moment.
 	Wanted func() bool
 }
--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -77,6 +77,9 @@
 	startedAt clocker.Instant
 	// recalled is set once the last departure before startedAt is known.
 	recalled bool
+	// doubted is set once a departure was recalled from a store that may have lost a later
+	// one.
+	doubted bool
 	// latest is the last announcement that was neither stale, foreign nor held.
 	latest Announcement
 	// departure is the last run that left, latest itself or an earlier one, and leftAt is
@@ -107,6 +110,21 @@
 // started, and VerdictRetired if no later run is known.
 func (e Enroller) WithDeparture(departure Departure, now clocker.Instant) (Enroller, Verdict) {
 	e.recalled = true
+	return e.withRecalled(departure, now)
+}
+
+// WithDoubtedDeparture returns the enroller with a run that left before the process started,
+// and VerdictRetired if no later run is known. A later one may have left as well, so that
+// announcements stay held until WithDeparture is called.
+func (e Enroller) WithDoubtedDeparture(departure Departure, now clocker.Instant) (Enroller, Verdict) {
+	e.doubted = true
+	return e.withRecalled(departure, now)
+}
+
+// Doubted reports whether a departure was recalled that may not be the last one.
+func (e Enroller) Doubted() bool { return e.doubted && !e.recalled }
+
+func (e Enroller) withRecalled(departure Departure, now clocker.Instant) (Enroller, Verdict) {
 	leftWithoutStart := e.latest.Leaving && e.latest.StartedMs == 0
 	if departure.ID == "" || leftWithoutStart {
 		return e, VerdictStale
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -233,6 +233,18 @@
 		require.Equal(t, retired, verdict)
 		requireVerdictsFrom(t, e, []enroller.Announcement{late(ready("a", 0, 8), 5*time.Second)}, stale)
 	})
+	t.Run("HeldWhileTheDepartureIsDoubted", func(t *testing.T) {
+		b := late(ready("b", 3000, 1), 5*time.Second)
+		e, verdict := enroller.New(address, at(3*time.Second)).WithDoubtedDeparture(
+			enroller.Departure{ID: "a", StartedMs: epoch, LeftMs: epoch + 2000}, at(3*time.Second))
+		require.Equal(t, retired, verdict)
+		require.True(t, e.Doubted())
+		requireVerdictsFrom(t, e, []enroller.Announcement{ready7, b}, stale, held)
+		e, _ = e.WithDeparture(enroller.Departure{}, at(5*time.Second))
+		require.False(t, e.Doubted())
+		require.Equal(t, "a", e.Departure().ID)
+		requireVerdictsFrom(t, e, []enroller.Announcement{ready7, b}, stale, announced)
+	})
 	t.Run("HeldNoLongerThanAnnouncementsAreLate", func(t *testing.T) {
 		e := enroller.New(address, at(3*time.Second))
 		requireVerdictsFrom(t, e, []enroller.Announcement{
--- a/coordination/enroller/predecessor.go
+++ b/coordination/enroller/predecessor.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 )
@@ -28,6 +29,15 @@
 	return live[:min(count, len(live))]
 }
 
+// Vouches reports whether what a member knows of a store's era, which rises when the store
+// comes back from an older copy, shows that the store has lost no departure that matters to
+// a process which recalled one in an era: the run of a lost one had left before the era rose,
+// and its announcements are at most MaxDelay late. longRunning tells whether the member has
+// run for longer than that.
+func Vouches(longRunning bool, recalledEra, era uint64, eraAge time.Duration) bool {
+	return longRunning && era >= recalledEra && (eraAge < 0 || eraAge > MaxDelay)
+}
+
 // RuledOut reports whether the entries that other members know show that no announcement
 // can be late that a run of the service's server at the address of self sent before it
 // left. They do if the last process there with a server had one of the service when it
--- a/coordination/enroller/predecessor_test.go
+++ b/coordination/enroller/predecessor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -57,3 +58,26 @@
 	require.Equal(t, []registrar.Member{old, young, far}, enroller.Witnesses(self, members, 4))
 	require.Empty(t, enroller.Witnesses(self, []registrar.Member{dead, self}, 3))
 }
+
+// TestVouches guards against a departure that a store has lost and that a restarted process
+// therefore takes for one that never was.
+func TestVouches(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		longRunning bool
+		era         uint64
+		age         time.Duration
+		want        bool
+	}{
+		{"NoRiseSeen", true, 3, -1, true},
+		{"RoseLongAgo", true, 3, enroller.MaxDelay + time.Millisecond, true},
+		{"RoseLately", true, 3, enroller.MaxDelay, false},
+		{"RoseAgainLongAgo", true, 4, enroller.MaxDelay + time.Millisecond, true},
+		{"HasNotSeenTheEra", true, 2, -1, false},
+		{"StartedLately", false, 3, -1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, enroller.Vouches(c.longRunning, 3, c.era, c.age))
+		})
+	}
+}
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -86,6 +86,11 @@
 	// once everConfirmed is set.
 	confirmedAt   clocker.Instant
 	everConfirmed bool
+	// era is the latest known era of the source's data, 0 for none. eraRoseAt is when a
+	// process saw it rise, once eraRose is set.
+	era       uint64
+	eraRoseAt clocker.Instant
+	eraRose   bool
 	// selfChanged is set until the next tick after a change of the own entry, or
 	// after a new warning about the own server.
 	selfChanged bool
@@ -308,6 +313,7 @@
 	if message.Confirmed >= 0 {
 		g.Confirm(now.Add(-message.Confirmed))
 	}
+	g.mergeEra(now, message)
 	g.adopted = append(g.adopted, g.warner.Merge(now, message.Warnings)...)
 }
 
--- a/coordination/gossiper/message.go
+++ b/coordination/gossiper/message.go
@@ -18,6 +18,10 @@
 	// Confirmed is the age of the last successful read of the configuration's source
 	// that the sender knows of, negative if it knows of none.
 	Confirmed time.Duration
+	// Era is the latest era of the source's data that the sender knows of, 0 for none.
+	Era uint64
+	// EraAge is the time since a process saw the era rise, negative if the sender knows of none.
+	EraAge time.Duration
 	// Full is set if Changes holds all entries that the receiver lacks.
 	Full bool
 	// WantFull asks for all entries whose fingerprints are not in Known.
--- a/coordination/gossiper/spread.go
+++ b/coordination/gossiper/spread.go
@@ -24,6 +24,8 @@
 		Digest:        g.roster.Digest(),
 		ConfigVersion: g.configVersion,
 		Confirmed:     g.Confirmed(now),
+		Era:           g.era,
+		EraAge:        g.EraAge(now),
 		WantFull:      wantFull,
 		Warnings:      g.warner.Current(now, g.warningsFor(to.Zone)),
 	}
--- a/coordination/positioner/positioner.go
+++ b/coordination/positioner/positioner.go
@@ -19,6 +19,9 @@
 // Offset returns the offset to read from, and reports whether there is one.
 func (p Position) Offset() (offset int64, ok bool) { return p.offset, p.known }
 
+// Era returns the era in which the offset was read, 0 without an offset.
+func (p Position) Era() uint64 { return p.era }
+
 // WithRead returns the position after a read from its offset whose records ended before
 // next. A read in another era shows that records before the offset may be unread.
 func (p Position) WithRead(next int64, era uint64) Position {
--- a/proofs/departures_test.go
+++ b/proofs/departures_test.go
@@ -68,6 +68,7 @@
 		}
 		f.server.Close()
 		f.store.Close()
+		f.logFailure()
 	})
 	time.Sleep(100 * time.Millisecond)
 	f.store.Publish([]byte(leavingConfiguration))
@@ -100,6 +101,17 @@
 	}, 10*time.Second, 20*time.Millisecond, "process %d is not ready", i)
 }
 
+// logFailure shows the logs of the processes if the test has failed.
+func (f *leavingFleet) logFailure() {
+	if !f.t.Failed() {
+		return
+	}
+	for i := range f.procs {
+		text, err := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("%d.log", i)))
+		f.t.Logf("process %d: %v\n%s", i, err, text)
+	}
+}
+
 // kill ends process i by SIGKILL.
 func (f *leavingFleet) kill(i int) { f.end(i, syscall.SIGKILL) }
 
@@ -309,9 +321,9 @@
 // lacks once it came back from a copy without them.
 func TestProcessesAreFoundAfterAnOlderStore(t *testing.T) {
 	f := startLeavingFleet(t, 143)
-	require.Eventually(t, func() bool { return len(f.store.Keys("keyed.members")) == len(f.procs) }, 5*time.Second, 50*time.Millisecond)
+	registered := func() bool { return len(f.store.Keys("keyed.members")) == len(f.procs) }
+	require.Eventually(t, registered, 5*time.Second, 50*time.Millisecond)
 	f.store.Restore(time.Minute)
 	f.store.Publish([]byte(leavingConfiguration))
-	require.Eventually(t, func() bool { return len(f.store.Keys("keyed.members")) == len(f.procs) }, 8*time.Second, 50*time.Millisecond,
-		"the processes are not registered again")
+	require.Eventually(t, registered, 8*time.Second, 50*time.Millisecond, "the processes are not registered again")
 }
--- a/transport/converter/converter.go
+++ b/transport/converter/converter.go
@@ -65,7 +65,9 @@
 		WantFull:      message.WantFull,
 		Known:         message.Known,
 		Warnings:      warningsToProto(message.Warnings),
-		ConfirmedMs:   uint32(min(max(0, message.Confirmed.Milliseconds()+1), math.MaxUint32)),
+		ConfirmedMs:   ageToProto(message.Confirmed),
+		Era:           message.Era,
+		EraAgeMs:      ageToProto(message.EraAge),
 	}
 }
 
@@ -84,10 +86,25 @@
 		WantFull:      message.GetWantFull(),
 		Known:         message.GetKnown(),
 		Warnings:      warningsFromProto(message.GetWarnings()),
-		Confirmed:     time.Duration(int64(message.GetConfirmedMs())-1) * time.Millisecond,
+		Confirmed:     ageFromProto(message.GetConfirmedMs()),
+		Era:           message.GetEra(),
+		EraAge:        ageFromProto(message.GetEraAgeMs()),
 	}
 }
 
+// ageToProto converts an age, which is negative for none, to 1 + its milliseconds, 0 for none.
+func ageToProto(age time.Duration) uint32 {
+	if age < 0 {
+		return 0
+	}
+	return uint32(min(age.Milliseconds()+1, math.MaxUint32))
+}
+
+// ageFromProto converts what ageToProto returns to an age, negative for none.
+func ageFromProto(ms uint32) time.Duration {
+	return time.Duration(int64(ms)-1) * time.Millisecond
+}
+
 func warningsToProto(warnings []warner.Warning) []*messenger.Warning {
 	converted := make([]*messenger.Warning, 0, len(warnings))
 	for _, warning := range warnings {
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
@@ -115,14 +117,13 @@
 		return
 	}
 	defer r.asking.Store(false)
-	longRunning := uint64(r.started.Add(-enroller.MaxDelay).UnixMilli()) << incarnationRandomBits
 	asked, askedLongRunning := 0, 0
 	for _, peer := range enroller.Witnesses(*r.self.Load(), r.roster.Load().Members(), askedPeers) {
 		if !r.askForAll(ctx, peer) {
 			continue
 		}
 		asked++
-		if peer.Incarnation < longRunning {
+		if r.longRunning(peer) {
 			askedLongRunning++
 		}
 	}
@@ -132,10 +133,43 @@
 	}
 	last, ruledOut := enroller.RuledOut(*r.self.Load(), held.announcement.Service, r.roster.Load().Members())
 	// Only a member that has run for long enough knows that there was no earlier process.
-	if ruledOut && (last.Incarnation > 0 || askedLongRunning > 0) {
+	// The Source knows of none either if its word was only doubted.
+	if ruledOut && (last.Incarnation > 0 || askedLongRunning > 0 || r.doubted()) {
 		r.deps.Log.Info("DepartureRuledOut", "Server", held.announcement.ID, "Asked", asked,
 			"Predecessor", last.Incarnation, "Version", last.Version, "Service", last.Service)
-		r.handleDeparture(enroller.Departure{})
+		r.ruleOutDeparture()
+	}
+}
+
+// longRunning reports whether a member was running long before this process started.
+func (r *Runner) longRunning(member registrar.Member) bool {
+	return member.Incarnation < uint64(r.started.Add(-enroller.MaxDelay).UnixMilli())<<incarnationRandomBits
+}
+
+// doubted reports whether the Source may have lost a later departure than the recalled one.
+func (r *Runner) doubted() bool {
+	r.announcementMu.Lock()
+	defer r.announcementMu.Unlock()
+	return r.enroller.Doubted()
+}
+
+// checkVouched takes the recalled departure for the last one if a peer shows that the Source
+// did not come back from an older copy lately.
+func (r *Runner) checkVouched(reply gossiper.Message) {
+	r.announcementMu.Lock()
+	doubted, recalledEra := r.enroller.Doubted(), r.recalledEra
+	r.announcementMu.Unlock()
+	if doubted && enroller.Vouches(r.longRunning(reply.Sender), recalledEra, reply.Era, reply.EraAge) {
+		r.deps.Log.Info("DepartureVouched", "Peer", reply.Sender.Address, "Era", reply.Era, "AgeMs", reply.EraAge.Milliseconds())
+		r.ruleOutDeparture()
+	}
+}
+
+// checkAlone takes the recalled departure for the last one if there is no peer to ask.
+func (r *Runner) checkAlone() {
+	if r.now().Mono > maxJoinWait && r.doubted() && r.alone() {
+		r.deps.Log.Info("DepartureUnwitnessed")
+		r.ruleOutDeparture()
 	}
 }
 
@@ -171,34 +205,60 @@
 	}
 }
 
-// handleDeparture applies the last departure before this process started, or the zero
-// value if there was none, and then the announcement that was held until it was known. It
-// returns the last departure.
-func (r *Runner) handleDeparture(departure enroller.Departure) enroller.Departure {
+// handleDeparture applies the last departure before this process started, or the zero value
+// if the Source knows of none, and returns the last departure that is then known. In an era
+// that the Source names, it may have lost a later one; peers are asked then.
+func (r *Runner) handleDeparture(departure enroller.Departure, era uint64) enroller.Departure {
+	r.recordEra(era)
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
 	now := r.now()
-	next, verdict := r.enroller.WithDeparture(departure, now)
-	r.enroller = next
+	recall := r.enroller.WithDeparture
+	if era > 0 {
+		recall = r.enroller.WithDoubtedDeparture
+	}
+	next, verdict := recall(departure, now)
+	r.enroller, r.recalledEra = next, era
 	r.deps.Log.Info("DepartureRecalled", "Server", departure.ID, "StartedMs", departure.StartedMs,
-		"LeftMs", departure.LeftMs, "Verdict", verdict.String())
+		"LeftMs", departure.LeftMs, "Verdict", verdict.String(), "Era", era)
 	if verdict == enroller.VerdictRetired {
 		if err := r.guard.Retire(departure.ID); err != nil {
 			r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
 		}
 		r.renewMemberStatus()
 	}
-	if held := r.held.Swap(nil); held != nil {
-		announcement := held.announcement
-		announcement.ReceivedAt = now
-		r.enroller, verdict = r.enroller.WithAnnouncement(announcement)
-		if err := r.applyVerdict(announcement, verdict, held.coldStart); err != nil {
-			r.deps.Log.Warn("AnnouncementRefused", "Server", announcement.ID, "Error", err)
-		}
-	}
+	r.releaseHeld(now)
 	return r.enroller.Departure()
 }
 
+// ruleOutDeparture records that no departure before this process is unknown.
+func (r *Runner) ruleOutDeparture() {
+	r.announcementMu.Lock()
+	defer r.announcementMu.Unlock()
+	now := r.now()
+	r.enroller, _ = r.enroller.WithDeparture(enroller.Departure{}, now)
+	r.releaseHeld(now)
+}
+
+// releaseHeld applies the held announcement once the last departure is known. The caller
+// holds announcementMu.
+func (r *Runner) releaseHeld(now clocker.Instant) {
+	if !r.enroller.Settled(now) {
+		return
+	}
+	held := r.held.Swap(nil)
+	if held == nil {
+		return
+	}
+	announcement := held.announcement
+	announcement.ReceivedAt = now
+	next, verdict := r.enroller.WithAnnouncement(announcement)
+	r.enroller = next
+	if err := r.applyVerdict(announcement, verdict, held.coldStart); err != nil {
+		r.deps.Log.Warn("AnnouncementRefused", "Server", announcement.ID, "Error", err)
+	}
+}
+
 // keepDepartures keeps the departures of the backend server in the Source until the
 // context is done.
 func (r *Runner) keepDepartures(ctx context.Context) error {
--- a/transport/runner/departures.go
+++ b/transport/runner/departures.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+	"github.com/foxtailhall/foxtailhall/coordination/keeper"
 )
 
 const (
@@ -32,23 +33,23 @@
 // safe for concurrent use.
 type departures struct {
 	// record writes a departure to the Source, and recall reads the last one.
-	record func(ctx context.Context, departure enroller.Departure) error
-	recall func(ctx context.Context) (enroller.Departure, error)
+	record func(ctx context.Context, departure enroller.Departure) (era uint64, err error)
+	recall func(ctx context.Context) (departure enroller.Departure, era uint64, err error)
 	log    *slog.Logger
 
 	mu sync.Mutex
-	// wanted is the last departure, and kept the last one that the Source has.
+	// wanted is the last departure, and keeper tracks whether the Source has it.
 	wanted enroller.Departure
-	kept   enroller.Departure
-	// written is closed and replaced whenever kept changes.
+	keeper keeper.Keeper
+	// written is closed and replaced whenever the Source has acknowledged a departure.
 	written chan struct{}
-	// wake tells run that wanted has changed.
+	// wake tells run that wanted or the era has changed.
 	wake chan struct{}
 }
 
 func newDepartures(
-	record func(ctx context.Context, departure enroller.Departure) error,
-	recall func(ctx context.Context) (enroller.Departure, error), log *slog.Logger,
+	record func(ctx context.Context, departure enroller.Departure) (era uint64, err error),
+	recall func(ctx context.Context) (departure enroller.Departure, era uint64, err error), log *slog.Logger,
 ) *departures {
 	return &departures{
 		record: record, recall: recall, log: log,
@@ -63,8 +64,24 @@
 		return
 	}
 	d.mu.Lock()
-	d.wanted = departure
+	if departure != d.wanted {
+		d.wanted = departure
+		d.keeper = d.keeper.WithValue()
+	}
 	d.mu.Unlock()
+	d.wakeUp()
+}
+
+// setEra records the latest known era of the Source. A departure that was kept in an
+// earlier one is written again.
+func (d *departures) setEra(era uint64) {
+	d.mu.Lock()
+	d.keeper = d.keeper.WithEra(era)
+	d.mu.Unlock()
+	d.wakeUp()
+}
+
+func (d *departures) wakeUp() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
@@ -78,7 +95,7 @@
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
-		done, written := d.kept == departure, d.written
+		done, written := d.wanted == departure && !d.keeper.Due(), d.written
 		d.mu.Unlock()
 		if done {
 			return nil
@@ -95,15 +112,17 @@
 // then known, and writes that and later ones until the context is done. Nothing is written
 // before, since that could replace a later departure by an earlier one. It stops recalling
 // once needless returns true.
-func (d *departures) run(ctx context.Context, apply func(enroller.Departure) enroller.Departure, needless func() bool) {
+func (d *departures) run(
+	ctx context.Context, apply func(departure enroller.Departure, era uint64) enroller.Departure, needless func() bool,
+) {
 	retry := departureRetryDelay
 	for ctx.Err() == nil && !needless() {
 		callCtx, cancel := context.WithTimeout(ctx, departureCallTimeout)
-		departure, err := d.recall(callCtx)
+		departure, era, err := d.recall(callCtx)
 		cancel()
 		if err == nil {
-			d.setKept(departure)
-			d.keep(apply(departure))
+			d.setRecalled(departure, era)
+			d.keep(apply(departure, era))
 			break
 		}
 		d.log.Warn("DepartureNotRecalled", "Error", err)
@@ -124,18 +143,17 @@
 func (d *departures) write(ctx context.Context) {
 	for retry := departureRetryDelay; ctx.Err() == nil; retry = min(2*retry, maxDepartureRetryDelay) {
 		d.mu.Lock()
-		wanted := d.wanted
-		done := d.kept == wanted
+		wanted, value, due := d.wanted, d.keeper.Value(), d.keeper.Due()
 		d.mu.Unlock()
-		if done {
+		if !due {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, departureCallTimeout)
-		err := d.record(callCtx, wanted)
+		era, err := d.record(callCtx, wanted)
 		cancel()
 		if err == nil {
-			d.setKept(wanted)
-			d.log.Info("DepartureKept", "Server", wanted.ID, "StartedMs", wanted.StartedMs)
+			d.setKept(value, era)
+			d.log.Info("DepartureKept", "Server", wanted.ID, "StartedMs", wanted.StartedMs, "Era", era)
 			continue
 		}
 		d.log.Warn("DepartureNotKept", "Server", wanted.ID, "Error", err)
@@ -143,10 +161,25 @@
 	}
 }
 
-func (d *departures) setKept(departure enroller.Departure) {
+// setRecalled records that the Source has a departure in an era.
+func (d *departures) setRecalled(departure enroller.Departure, era uint64) {
+	d.mu.Lock()
+	if departure.ID != "" {
+		d.wanted = departure
+		d.keeper = d.keeper.WithValue()
+	}
+	value := d.keeper.Value()
+	d.mu.Unlock()
+	if departure.ID != "" {
+		d.setKept(value, era)
+	}
+}
+
+// setKept records that the Source has acknowledged a value of the keeper in an era.
+func (d *departures) setKept(value, era uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.kept = departure
+	d.keeper = d.keeper.WithKept(value, era)
 	close(d.written)
 	d.written = make(chan struct{})
 }
--- a/transport/runner/departures_test.go
+++ b/transport/runner/departures_test.go
@@ -17,6 +17,7 @@
 
 // fakeSource keeps one departure. Its first calls fail or hang.
 type fakeSource struct {
+	era                    atomic.Uint64
 	failures, hangs, calls atomic.Int64
 	kept                   atomic.Pointer[enroller.Departure]
 }
@@ -33,22 +34,22 @@
 	return nil
 }
 
-func (f *fakeSource) record(ctx context.Context, departure enroller.Departure) error {
+func (f *fakeSource) record(ctx context.Context, departure enroller.Departure) (uint64, error) {
 	if err := f.fail(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	f.kept.Store(&departure)
-	return nil
+	return f.era.Load(), nil
 }
 
-func (f *fakeSource) recall(ctx context.Context) (enroller.Departure, error) {
+func (f *fakeSource) recall(ctx context.Context) (enroller.Departure, uint64, error) {
 	if err := f.fail(ctx); err != nil {
-		return enroller.Departure{}, err
+		return enroller.Departure{}, 0, err
 	}
 	if kept := f.kept.Load(); kept != nil {
-		return *kept, nil
+		return *kept, f.era.Load(), nil
 	}
-	return enroller.Departure{}, nil
+	return enroller.Departure{}, f.era.Load(), nil
 }
 
 // startDepartures runs departures and returns them with a channel of what was recalled.
@@ -60,7 +61,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		d.run(ctx, func(departure enroller.Departure) enroller.Departure {
+		d.run(ctx, func(departure enroller.Departure, _ uint64) enroller.Departure {
 			recalled <- departure
 			return departure
 		}, needless)
@@ -122,6 +123,30 @@
 		require.Equal(t, second, *source.kept.Load())
 		require.EqualValues(t, 3, source.calls.Load(), "two failed reads and one that succeeds")
 	})
+	t.Run("WrittenAgainInALaterEra", func(t *testing.T) {
+		source := &fakeSource{}
+		source.era.Store(1)
+		d, recalled := startDepartures(t, source, never)
+		<-recalled
+		require.NoError(t, keep(d, first))
+		source.kept.Store(nil)
+		source.era.Store(2)
+		d.setEra(1)
+		d.setEra(2)
+		require.NoError(t, d.await(first))
+		require.Equal(t, first, *source.kept.Load())
+		require.EqualValues(t, 3, source.calls.Load(), "a read and two writes")
+	})
+	t.Run("NothingIsWrittenWithoutADeparture", func(t *testing.T) {
+		source := &fakeSource{}
+		source.era.Store(1)
+		d, recalled := startDepartures(t, source, never)
+		<-recalled
+		source.era.Store(2)
+		d.setEra(2)
+		require.NoError(t, keep(d, first))
+		require.EqualValues(t, 2, source.calls.Load(), "a read and a write")
+	})
 	t.Run("NoDepartureIsNotWritten", func(t *testing.T) {
 		source := &fakeSource{}
 		source.kept.Store(&first)
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -100,6 +100,7 @@
 	for _, ping := range pings {
 		go r.ping(ctx, ping)
 	}
+	r.checkAlone()
 }
 
 // ping sends one gossip message. If a known member does not reply, other members
@@ -136,6 +137,8 @@
 	r.gossipMu.Unlock()
 	r.recordWarnings(warnings)
 	r.recordContact(ping.Incarnation)
+	r.applyEra()
+	r.checkVouched(reply)
 	r.checkPredecessor(ctx)
 	r.fetchIfNewer(ctx, ping.Address, reply.ConfigVersion)
 	for _, next := range more {
--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -94,6 +94,7 @@
 	r.publishRoster()
 	r.gossipMu.Unlock()
 	r.recordWarnings(warnings)
+	r.applyEra()
 	if received.ConfigVersion > r.catalog().Version() {
 		go r.fetchIfNewer(context.WithoutCancel(ctx), received.Sender.Address, received.ConfigVersion)
 	}
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -104,7 +104,14 @@
 	// known, if there is one.
 	held       atomic.Pointer[heldAnnouncement]
 	departures *departures
-	quotas     *quotas
+	// registration is nil without a Source.
+	registration *registration
+	// era is the latest era of the Source's data that was applied.
+	era atomic.Uint64
+	// recalledEra is the era in which the departure before this process was recalled.
+	// announcementMu guards it.
+	recalledEra uint64
+	quotas      *quotas
 	// asking is set while peers are asked about the process before this one.
 	asking atomic.Bool
 	// maxKnownServers is the largest number of servers known at the same time, by
@@ -155,11 +162,12 @@
 	r.sourceVersion.Store(&version{catalog: cataloger.New()})
 	r.enroller = enroller.New(deps.Settings.ServerAddress, r.now())
 	if source := deps.Source; source != nil {
+		r.registration = newRegistration()
 		r.departures = newDepartures(
-			func(ctx context.Context, departure enroller.Departure) error {
+			func(ctx context.Context, departure enroller.Departure) (uint64, error) {
 				return source.RecordDeparture(ctx, deps.Settings.ServerAddress, departure)
 			},
-			func(ctx context.Context) (enroller.Departure, error) {
+			func(ctx context.Context) (enroller.Departure, uint64, error) {
 				return source.Departure(ctx, deps.Settings.ServerAddress)
 			},
 			deps.Log,
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -19,15 +19,17 @@
 	Follow func(ctx context.Context, follower delegator.Follower)
 	// Decode parses the text of a version.
 	Decode func(text []byte) (uint64, cataloger.Objects, error)
-	// Register publishes the address of the process to others, Deregister removes it.
-	Register   func(ctx context.Context, address string) error
+	// Register publishes the address of the process to others, Deregister removes it. Where a
+	// function returns an era, it is that of the Source's data, which rises when the Source
+	// comes back from an older copy, or 0 if it is not known.
+	Register   func(ctx context.Context, address string) (era uint64, err error)
 	Deregister func(ctx context.Context, address string) error
 	// Peers returns some registered addresses of other processes than the own.
 	Peers func(ctx context.Context, own string) ([]string, error)
 	// RecordDeparture keeps the last departure of the backend server at an address, and
 	// Departure returns it, or the zero value if there is none.
-	RecordDeparture func(ctx context.Context, address string, departure enroller.Departure) error
-	Departure       func(ctx context.Context, address string) (enroller.Departure, error)
+	RecordDeparture func(ctx context.Context, address string, departure enroller.Departure) (era uint64, err error)
+	Departure       func(ctx context.Context, address string) (departure enroller.Departure, era uint64, err error)
 }
 
 const (
@@ -36,10 +38,6 @@
 	fetchDelay = 300 * time.Millisecond
 	// deregisterTimeout bounds the removal of the address at a planned stop.
 	deregisterTimeout = 500 * time.Millisecond
-	// discoveryRetryDelay is the first delay between two attempts to register
-	// and to find peers. It doubles up to maxDiscoveryRetryDelay.
-	discoveryRetryDelay    = 300 * time.Millisecond
-	maxDiscoveryRetryDelay = 5 * time.Second
 )
 
 // version is a configuration from a Source with the text it was decoded from.
@@ -81,7 +79,8 @@
 func (r *Runner) followSource(ctx context.Context) error {
 	r.deps.Source.Follow(ctx, delegator.Follower{
 		Apply: func(text []byte) { r.applyVersion(text, "Store") },
-		Reached: func() {
+		Reached: func(era uint64) {
+			r.recordEra(era)
 			r.gossipMu.Lock()
 			defer r.gossipMu.Unlock()
 			r.gossip.Confirm(r.now())
@@ -127,54 +126,3 @@
 		r.applyVersion([]byte(reply.Objects), address)
 	}
 }
-
-// registerAtSource registers the address of this process and adds the registered
-// addresses as gossip seeds, until both have succeeded and a peer is alive.
-func (r *Runner) registerAtSource(ctx context.Context) error {
-	retry := discoveryRetryDelay
-	registered, found := false, false
-	for ctx.Err() == nil {
-		if registered && found && !r.alone() {
-			return nil
-		}
-		if !registered {
-			err := r.deps.Source.Register(ctx, r.deps.Settings.PeerAddress)
-			registered = err == nil
-			r.logStoreResult("Enlisted", err)
-		}
-		found = r.addSourcePeers(ctx) || found
-		pause(ctx, retry)
-		retry = min(2*retry, maxDiscoveryRetryDelay)
-	}
-	return nil
-}
-
-// addSourcePeers adds the registered addresses as gossip seeds and reports whether
-// they could be read.
-func (r *Runner) addSourcePeers(ctx context.Context) bool {
-	peers, err := r.deps.Source.Peers(ctx, r.deps.Settings.PeerAddress)
-	r.logStoreResult("PeersListed", err)
-	if err != nil {
-		return false
-	}
-	r.gossipMu.Lock()
-	defer r.gossipMu.Unlock()
-	r.gossip.AddSeeds(peers...)
-	return true
-}
-
-// logStoreResult logs an event of the Source, or event+"Failed" with its error.
-func (r *Runner) logStoreResult(event string, err error) {
-	if err != nil {
-		r.deps.Log.Warn(event+"Failed", "Error", err)
-		return
-	}
-	r.deps.Log.Info(event)
-}
-
-// deregister removes the address of this process at a planned stop.
-func (r *Runner) deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
-	defer cancel()
-	r.logStoreResult("Delisted", r.deps.Source.Deregister(ctx, r.deps.Settings.PeerAddress))
-}
