soaker, relayer: Play a store that is silent, comes back older or writes late

Faults of the store overlap. The operator writes lost versions again in three ways, one of which gives their offsets out again. Callers ask for recent versions, not the newest alone.

The check of versions in time is stricter: it left out each version that was published within 3 s of a disturbance, whenever a request asked for it.

--- a/standins/relayer/relayer.go
+++ b/standins/relayer/relayer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -118,7 +119,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn := range r.connections {
-		if err := muter.Mute(conn); err != nil {
+		if err := muter.Mute(conn); err != nil && !errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("silencing a connection: %w", err)
 		}
 	}
--- a/standins/soaker/callers.go
+++ b/standins/soaker/callers.go
@@ -83,7 +83,7 @@
 	method, body := http.MethodGet, ""
 	switch draw := rand.Float64(); {
 	case draw < versionShare:
-		got.Path = f.latestVersionPath()
+		got.Path = f.drawVersionPath()
 	case draw < versionShare+publicShare:
 		got.Path, got.Credential = publicPath, credential{lasting: true}
 	case draw < versionShare+publicShare+writeShare:
--- a/standins/soaker/fleet.go
+++ b/standins/soaker/fleet.go
@@ -89,6 +89,7 @@
 	drained      []*responder.Responder
 	publications []publication
 	disturbances []disturbance
+	faults       storeFaults
 
 	// supervisors counts the running supervise calls.
 	supervisors sync.WaitGroup
@@ -100,6 +101,7 @@
 func newFleet(options Options, c *checker) *fleet {
 	requestRate := float64(options.VMs*callersPerVM) / (thinkTime + meanServiceTime).Seconds()
 	f := &fleet{options: options, checker: c, customers: drawCustomers(options.Seed, requestRate)}
+	f.faults.active = map[int]storer.Fault{}
 	f.store = storer.New(storeAddress(options.Network))
 	for i := range options.VMs {
 		ip := f.ip(i + 1)
@@ -241,6 +243,12 @@
 	}
 }
 
+// kill ends the process by SIGKILL.
+func (v *vm) kill() {
+	v.recordCrash()
+	v.signal(syscall.SIGKILL)
+}
+
 // crashedWithin reports whether the process was killed or ended with an error
 // between two times.
 func (v *vm) crashedWithin(from, to time.Time) bool {
@@ -289,8 +297,9 @@
 const drainDuration = 2500 * time.Millisecond
 
 // leaveAndKill makes the VM's backend server leave, by a deregistration if its run is an
-// odd one, kills the process twice once that is acknowledged, and replaces the server.
-func (f *fleet) leaveAndKill(ctx context.Context, v *vm) {
+// odd one, kills the process twice once that is acknowledged, the second time after a while,
+// and replaces the server.
+func (f *fleet) leaveAndKill(ctx context.Context, v *vm, between time.Duration) {
 	old := v.beginReplacement()
 	if old == nil {
 		return
@@ -304,11 +313,9 @@
 	for old.LeaveAcknowledged().IsZero() && time.Now().Before(end) {
 		time.Sleep(restartDelay / 10)
 	}
-	for range 2 {
-		v.recordCrash()
-		v.signal(syscall.SIGKILL)
-		time.Sleep(5 * restartDelay)
-	}
+	v.kill()
+	time.Sleep(max(5*restartDelay, between))
+	v.kill()
 	time.Sleep(time.Until(end))
 	f.endServer(ctx, old, v)
 }
--- a/standins/soaker/plan.go
+++ b/standins/soaker/plan.go
@@ -38,6 +38,8 @@
 	KindDrain            Kind = "ServerDrains"
 	KindLeaveAndKill     Kind = "ServerLeavesAndKill"
 	KindPublish          Kind = "Publish"
+	KindStoreLateWrites  Kind = "StoreLateWrites"
+	KindStoreOlder       Kind = "StoreOlder"
 )
 
 // kinds are the kinds that a plan draws from; silences are drawn separately, so that a
@@ -48,8 +50,8 @@
 	KindSlow, KindLostAnswers, KindNoHeartbeats, KindDrain, KindPublish,
 }
 
-// Event is one fault or planned operation. VM is the index of the VM it affects;
-// most events of the store ignore it.
+// Event is one fault or planned operation. VM is the index of the VM it affects; most
+// events of the store ignore it, and for KindStoreOlder it is an index of rewrites.
 type Event struct {
 	// At is the time from the start of the load.
 	At time.Duration
@@ -89,8 +91,27 @@
 
 // NewPlan draws a plan. The same seed draws the same plan.
 func NewPlan(seed uint64, duration time.Duration, vms int) Plan {
-	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // plans must repeat
 	activeTime := time.Duration((1 - recoveryShare) * float64(duration))
+	var plan Plan
+	if !onlyStoreFaults(seed) {
+		plan = append(drawMixed(seed, activeTime, vms), drawSilences(seed, activeTime, vms)...)
+	}
+	plan = append(plan, drawLeaves(seed, activeTime, vms)...)
+	plan = append(plan, drawStoreFaults(seed, activeTime)...)
+	if hasCustomers(seed) {
+		plan = append(plan, drawKeyChanges(seed, activeTime)...)
+	}
+	sort.Slice(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
+	return plan
+}
+
+// onlyStoreFaults reports whether a seed leaves the VMs alone but for servers that leave.
+// Time limits apply to undisturbed VMs only, of which a mixed plan leaves few.
+func onlyStoreFaults(seed uint64) bool { return seed%5 == 4 }
+
+// drawMixed draws events of all kinds.
+func drawMixed(seed uint64, activeTime time.Duration, vms int) Plan {
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // plans must repeat
 	count := int(eventsPerSecond * activeTime.Seconds())
 	plan := make(Plan, 0, count)
 	for range count {
@@ -98,12 +119,6 @@
 		length := min(time.Duration(random.Int64N(int64(maxEventLength))), activeTime-at)
 		plan = append(plan, Event{At: at, Length: length, Kind: kinds[random.IntN(len(kinds))], VM: random.IntN(vms)})
 	}
-	plan = append(plan, drawSilences(seed, activeTime, vms)...)
-	plan = append(plan, drawLeaves(seed, activeTime, vms)...)
-	if hasCustomers(seed) {
-		plan = append(plan, drawKeyChanges(seed, activeTime)...)
-	}
-	sort.Slice(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
 	return plan
 }
 
@@ -122,6 +137,38 @@
 	return silences
 }
 
+const (
+	// storeFaultsPerSecond is the mean rate of further faults of the whole store, and
+	// onlyStoreFaultsPerSecond that of plans without other faults.
+	storeFaultsPerSecond     = 0.12
+	onlyStoreFaultsPerSecond = 0.2
+	// publicationsPerFault is how many versions are published around each of them.
+	publicationsPerFault = 4
+)
+
+// drawStoreFaults draws faults of the whole store, with versions published during each and
+// shortly after it.
+func drawStoreFaults(seed uint64, activeTime time.Duration) Plan {
+	random := rand.New(rand.NewPCG(seed, seed+1)) //nolint:gosec // plans must repeat
+	rate := storeFaultsPerSecond
+	if onlyStoreFaults(seed) {
+		rate = onlyStoreFaultsPerSecond
+	}
+	count := max(1, int(rate*activeTime.Seconds()))
+	faults := make(Plan, 0, count*(1+publicationsPerFault))
+	for range count {
+		kind := []Kind{KindStoreOlder, KindStoreSilent, KindStoreLateWrites}[random.IntN(3)]
+		at := time.Duration(random.Int64N(int64(activeTime)))
+		length := min(time.Duration(random.Int64N(int64(maxEventLength))), activeTime-at)
+		faults = append(faults, Event{At: at, Length: length, Kind: kind, VM: random.IntN(len(rewrites))})
+		for range publicationsPerFault {
+			later := time.Duration(random.Int64N(int64(length + time.Second)))
+			faults = append(faults, Event{At: at + later, Kind: KindPublish})
+		}
+	}
+	return faults
+}
+
 // leavesPerSecond is the mean rate of leaves with kills.
 const leavesPerSecond = 0.15
 
@@ -133,7 +180,11 @@
 	leaves := make(Plan, 0, count)
 	for range count {
 		at := time.Duration(random.Int64N(int64(activeTime - leaveDuration)))
-		leaves = append(leaves, Event{At: at, Kind: KindLeaveAndKill, VM: random.IntN(vms)})
+		leave := Event{At: at, Kind: KindLeaveAndKill, VM: random.IntN(vms)}
+		if onlyStoreFaults(seed) {
+			leave.Length = time.Duration(random.Int64N(int64(leaveDuration - drainDuration)))
+		}
+		leaves = append(leaves, leave)
 	}
 	return leaves
 }
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -17,7 +17,6 @@
 
 	"github.com/foxtailhall/foxtailhall/standins/relayer"
 	"github.com/foxtailhall/foxtailhall/standins/responder"
-	"github.com/foxtailhall/foxtailhall/standins/storer"
 )
 
 // Options configure one soak run.
@@ -185,11 +184,10 @@
 // inject starts an event. The returned function ends it; it is nil for events
 // without a duration.
 func (f *fleet) inject(ctx context.Context, event Event) (undo func()) {
-	v := f.vms[event.VM]
+	v := f.vms[event.VM%len(f.vms)]
 	switch event.Kind {
 	case KindKill:
-		v.recordCrash()
-		v.signal(syscall.SIGKILL)
+		v.kill()
 	case KindPause:
 		v.signal(syscall.SIGSTOP)
 		return func() { v.signal(syscall.SIGCONT) }
@@ -204,7 +202,7 @@
 	case KindDrain:
 		go f.replaceServer(ctx, v)
 	case KindLeaveAndKill:
-		go f.leaveAndKill(ctx, v)
+		go f.leaveAndKill(ctx, v, event.Length)
 	case KindCutOneWay, KindCutBoth, KindReset, KindSilence, KindDelay:
 		return f.injectLinkFault(event, v)
 	case KindErrors, KindShed, KindSlow, KindLostAnswers, KindNoHeartbeats:
@@ -257,28 +255,6 @@
 	return func() { server.SetFault(responder.Fault{}) }
 }
 
-// injectStoreFault makes the store fail: for the VM only if it refuses calls, else for
-// all VMs.
-func (f *fleet) injectStoreFault(event Event, v *vm) (undo func()) {
-	switch event.Kind {
-	case KindStoreTruncate:
-		f.store.Truncate("keyed.op")
-		f.store.Truncate("keyed.members")
-		return nil
-	case KindStoreDown:
-		f.store.SetFault(storer.Fault{Down: true})
-	case KindStoreSilent:
-		f.store.SetFault(storer.Fault{Silent: true})
-	case KindStoreSlow:
-		f.store.SetFault(storer.Fault{Delay: 300 * time.Millisecond})
-	case KindStoreLostReplies:
-		f.store.SetFault(storer.Fault{LostReplyShare: 0.5})
-	case KindStoreRefuse:
-		f.store.SetFault(storer.Fault{RefusedIPs: map[string]bool{v.ip: true}})
-	}
-	return func() { f.store.SetFault(storer.Fault{}) }
-}
-
 // Summary returns the request counts and the violated guarantees, one per line.
 func (v Verdict) Summary() string {
 	lines := []string{fmt.Sprintf("Served %d, refused %d, unauthorized %d, failed %d, events %d",
--- a/standins/soaker/versions.go
+++ b/standins/soaker/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sort"
@@ -17,7 +18,7 @@
 	// settleTime is how long a process must have been undisturbed before its time
 	// limits apply.
 	settleTime = 3 * time.Second
-	// versionShare is the share of requests to the newest version's own route.
+	// versionShare is the share of requests to a recent version's own route.
 	versionShare = 0.1
 	// versionPath is the prefix of the versions' own routes; the number follows.
 	versionPath = "/version"
@@ -47,7 +48,8 @@
 // reports whether it suspends any.
 func (e Event) affects() (vm int, length time.Duration, ok bool) {
 	switch e.Kind {
-	case KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLostReplies, KindStoreTruncate, KindStoreRefuse:
+	case KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLostReplies, KindStoreTruncate, KindStoreRefuse,
+		KindStoreLateWrites, KindStoreOlder:
 		return allVMs, e.Length, true
 	case KindStop:
 		return e.VM, stopLimit + restartDelay, true
@@ -86,11 +88,20 @@
 	return true
 }
 
-// latestVersionPath returns a path on the newest version's own route.
-func (f *fleet) latestVersionPath() string {
+// recentVersions is how many of the newest versions callers ask for. Only the older ones of
+// them show that a version is still missing while others are published.
+const recentVersions = 6
+
+// drawVersionPath returns a path on the own route of the newest version or, half of the
+// time, of any recent one.
+func (f *fleet) drawVersionPath() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return fmt.Sprintf("%s%d/a", versionPath, f.version)
+	version := f.version
+	if rand.IntN(2) == 0 {
+		version = max(1, version-rand.IntN(recentVersions))
+	}
+	return fmt.Sprintf("%s%d/a", versionPath, version)
 }
 
 // versionOf returns the version to whose own route a path belongs, or 0.
@@ -103,9 +114,10 @@
 	return version
 }
 
-// checkVersions checks that undisturbed VMs apply each version in time and never
-// go back to an older one. An answer of 404 on a version's own route shows that the
-// VM has not applied that version.
+// checkVersions checks that VMs know each version maxApplyDelay after its acknowledgement,
+// whatever went on then, once they have been undisturbed for settleTime, and never go back
+// to an older one. An answer of 404 on a version's own route shows that the VM has not
+// applied that version.
 func (c *checker) checkVersions(f *fleet) {
 	answers := append([]answer(nil), c.answers...)
 	sort.Slice(answers, func(i, j int) bool { return answers[i].Sent.Before(answers[j].Sent) })
@@ -122,7 +134,7 @@
 			continue
 		}
 		at := f.publishedAt(version)
-		if got.Sent.After(at.Add(maxApplyDelay)) && f.undisturbed(got.VM, at.Add(-settleTime), got.Ended) {
+		if got.Sent.After(at.Add(maxApplyDelay)) && f.undisturbed(got.VM, got.Sent.Add(-settleTime), got.Ended) {
 			c.addViolationLocked("ConfigurationInTime", fmt.Sprintf("%s: vm%d did not know version %d %s after its acknowledgement",
 				got.ID, got.VM, version, got.Sent.Sub(at)))
 		}
