--- a/coordination/delegator/delegator.go
+++ b/coordination/delegator/delegator.go
@@ -48,8 +48,8 @@
 
 // Follower is what a client of the source tells a process while it reads for it.
 type Follower struct {
-	// Apply is called with the text of each version.
-	Apply func(text []byte)
+	// Apply is called with the text of a version, and reports whether that is in force then.
+	Apply func(text []byte) bool
 	// Reached is called after each read that succeeded, with the era of the source's data,
 	// which rises when the source comes back from an older copy, or 0 if it is not known.
 	Reached func(era uint64)
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -46,12 +46,13 @@
 	text    []byte
 }
 
-// applyVersion decodes a version and applies it if it is newer than the current one.
-func (r *Runner) applyVersion(text []byte, from string) {
+// applyVersion decodes a version and applies it if it is newer than the current one. It
+// reports whether that version is in force.
+func (r *Runner) applyVersion(text []byte, from string) bool {
 	number, objects, err := r.deps.Source.Decode(text)
 	if err != nil {
 		r.deps.Log.Warn("VersionSkipped", "From", from, "Error", err)
-		return
+		return false
 	}
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
@@ -61,7 +62,7 @@
 	}
 	if number <= before {
 		r.deps.Log.Debug("VersionNotNewer", "From", from, "Version", number, "InForce", before)
-		return
+		return number == before
 	}
 	catalog := cataloger.New().WithObjects(objects).WithVersion(number, from, -1)
 	if faults := catalog.Faults(); len(faults) > 0 {
@@ -73,12 +74,13 @@
 	r.deps.Meter.CountEvent("VersionInForce")
 	r.guard.Configure()
 	r.requestRefresh()
+	return true
 }
 
 // followSource applies the versions from the Source until the context is done.
 func (r *Runner) followSource(ctx context.Context) error {
 	r.deps.Source.Follow(ctx, delegator.Follower{
-		Apply: func(text []byte) { r.applyVersion(text, "Store") },
+		Apply: func(text []byte) bool { return r.applyVersion(text, "Store") },
 		Reached: func(era uint64) {
 			r.recordEra(era)
 			r.gossipMu.Lock()
