runner: Fetch versions from another peer while one does not answer

A process that does not read the store had a version 1 s late if the peer it fetched from stopped answering, since only one fetch ran at a time. TestFetchesDontWaitForASilentPeer failed with one fetch at a time.

--- a/transport/runner/configuration.go
+++ b/transport/runner/configuration.go
@@ -16,9 +16,6 @@
 	readWait = time.Second
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = 200 * time.Millisecond
-	// fetchTimeout bounds fetching a configuration version from a peer. Another peer is
-	// asked afterwards.
-	fetchTimeout = time.Second
 	// snapshotsPerRetention is the number of snapshots of the configuration
 	// appended within the log's retention time.
 	snapshotsPerRetention = 3
@@ -108,8 +105,8 @@
 	r.requestRefresh()
 }
 
-// fetchIfNewer fetches the configuration from a peer whose version is newer. Only
-// one fetch runs at a time.
+// fetchIfNewer fetches the configuration from a peer whose version is newer, unless a
+// fetch has just begun.
 func (r *Runner) fetchIfNewer(ctx context.Context, address string, version uint64) {
 	if version <= r.catalog().Version() {
 		return
@@ -117,10 +114,10 @@
 	if r.expectsVersion(address) && (!pause(ctx, fetchDelay) || version <= r.catalog().Version()) {
 		return
 	}
-	if !r.fetching.CompareAndSwap(false, true) {
+	if !r.fetches.begin(r.now().Mono) {
 		return
 	}
-	defer r.fetching.Store(false)
+	defer r.fetches.end()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	if r.deps.Source != nil {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -78,8 +78,7 @@
 	sourceVersion atomic.Pointer[version]
 	// configMu serializes the writers of logState and sourceVersion.
 	configMu sync.Mutex
-	// fetching is set while a configuration version is fetched from a peer.
-	fetching atomic.Bool
+	fetches  fetches
 	// following is set while this process reads new versions from the Source itself.
 	following atomic.Bool
 	// urgent is set after a new version, so that the next tick sends gossip.
