requester: Bound the store's answers by 8 MiB

Overdue calls have several attempts in flight, each of which may hold a whole answer. Pages and reads of the store have 1 MiB and a record of 256 KiB.

--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -15,8 +15,8 @@
 	"github.com/foxtailhall/foxtailhall/transport/forwarder"
 )
 
-// maxBodyBytes bounds the body of an answer.
-const maxBodyBytes = 64 << 20
+// maxBodyBytes bounds the body of an answer. Several attempts of a call may hold one.
+const maxBodyBytes = 8 << 20
 
 var errBodyTooLong = eris.New("answer's body is too long")
 
