platform, enroller: Let no late write hide a later departure

The store may execute a write seconds after it was given up. A late copy of the departure of a server replaced that of its successor at the same address, and a restart then took announcements of the successor for valid, though its leave had been acknowledged.

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -70,6 +70,15 @@
 	LeftMs int64
 }
 
+// Later reports whether a run left that began after another one which left, or that left
+// later if the start of one of them is not known.
+func (d Departure) Later(other Departure) bool {
+	if d.StartedMs != other.StartedMs && d.StartedMs > 0 && other.StartedMs > 0 {
+		return d.StartedMs > other.StartedMs
+	}
+	return d.LeftMs > other.LeftMs
+}
+
 // Enroller tracks the latest run of the server at one address. It is immutable.
 type Enroller struct {
 	address string
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -274,3 +274,14 @@
 		}, stale, announced)
 	})
 }
+
+func TestLaterDepartures(t *testing.T) {
+	first := enroller.Departure{ID: "a", StartedMs: 10, LeftMs: 30}
+	second := enroller.Departure{ID: "b", StartedMs: 20, LeftMs: 25}
+	unknown := enroller.Departure{ID: "c", LeftMs: 27}
+	require.True(t, second.Later(first), "the clock was set back between the two")
+	require.False(t, first.Later(second))
+	require.True(t, unknown.Later(second))
+	require.False(t, unknown.Later(first))
+	require.False(t, first.Later(first))
+}
