--- a/proofs/departures_test.go
+++ b/proofs/departures_test.go
@@ -38,6 +38,10 @@
 	procs   [2]*exec.Cmd
 	// runs counts the requests that the server has started.
 	runs atomic.Int64
+	// slots is what the server announces.
+	slots int
+	// settings are added to those of each process.
+	settings string
 	// bornMs is the Unix time of the server's start in milliseconds.
 	bornMs int64
 }
@@ -49,9 +53,7 @@
 
 func startLeavingFleet(t *testing.T, network int) *leavingFleet {
 	t.Helper()
-	f := &leavingFleet{t: t, dir: t.TempDir(), network: network, bornMs: time.Now().UnixMilli()}
-	f.store = storer.New(f.address(255, 7000))
-	go func() { _ = f.store.Run() }()
+	f := newLeavingFleet(t, network)
 	server, err := responder.New(f.address(1, 9000), responder.Options{
 		ID: leavingServer, Service: "writing", Slots: 4, ServiceTime: time.Millisecond, AnnounceAddress: f.address(1, 8004),
 		OnRun: func(responder.Run) { f.runs.Add(1) },
@@ -63,18 +65,35 @@
 	f.server.Start(ctx)
 	t.Cleanup(func() {
 		cancel()
+		f.server.Close()
+	})
+	f.startAll()
+	return f
+}
+
+// newLeavingFleet returns a fleet whose store runs, without a server and processes.
+func newLeavingFleet(t *testing.T, network int) *leavingFleet {
+	t.Helper()
+	f := &leavingFleet{t: t, dir: t.TempDir(), network: network, slots: 4, bornMs: time.Now().UnixMilli()}
+	f.store = storer.New(f.address(255, 7000))
+	go func() { _ = f.store.Run() }()
+	t.Cleanup(func() {
 		for i := range f.procs {
 			f.kill(i)
 		}
-		f.server.Close()
 		f.store.Close()
 		f.logFailure()
 	})
+	return f
+}
+
+// startAll publishes the configuration and starts both processes.
+func (f *leavingFleet) startAll() {
+	f.t.Helper()
 	time.Sleep(100 * time.Millisecond)
 	f.store.Publish([]byte(leavingConfiguration))
 	f.start(0)
 	f.start(1)
-	return f
 }
 
 func (f *leavingFleet) address(host, port int) string {
@@ -86,9 +105,9 @@
 	f.t.Helper()
 	settings := filepath.Join(f.dir, fmt.Sprintf("%d.yaml", i))
 	text := fmt.Sprintf("CallerAddress: %s\nPeerAddress: %s\nAdminAddress: %s\nZone: z\nStoreAddress: %s\n"+
-		"AnnounceAddress: %s\nReadyAddress: %s\nServerAddress: %s\nService: writing\nStopLimit: 6s\n",
+		"AnnounceAddress: %s\nReadyAddress: %s\nServerAddress: %s\nService: writing\nStopLimit: 6s\n%s",
 		f.address(i+1, 8000), f.address(i+1, 8001), f.address(i+1, 8003), f.address(255, 7000),
-		f.address(i+1, 8004), f.address(i+1, 8005), f.address(i+1, 9000))
+		f.address(i+1, 8004), f.address(i+1, 8005), f.address(i+1, 9000), f.settings)
 	require.NoError(f.t, os.WriteFile(settings, []byte(text), 0o600))
 	log, err := os.OpenFile(filepath.Join(f.dir, fmt.Sprintf("%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(f.t, err)
@@ -143,8 +162,8 @@
 
 // announce sends an announcement of the server and returns the status.
 func (f *leavingFleet) announce(state string, sequence int) int {
-	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"writing","maxConcurrency":4},`+
-		`"status":{"state":%q,"seq":%d,"warmupLeft":"0ms"}}`, f.address(1, 9000), f.bornMs, state, sequence)
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"writing","maxConcurrency":%d},`+
+		`"status":{"state":%q,"seq":%d,"warmupLeft":"0ms"}}`, f.address(1, 9000), f.bornMs, f.slots, state, sequence)
 	return f.call(http.MethodPut, "http://"+f.address(1, 8004)+"/instances/"+leavingServer, body)
 }
 
