--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -48,7 +48,7 @@
 			f.startAll()
 			require.Eventually(t, func() bool {
 				f.announce("ready", int(time.Now().UnixMilli()-f.bornMs))
-				return sent.Load() > 0 || f.call(http.MethodPost, "http://"+f.address(2, 8000)+"/write/a", "x") != http.StatusServiceUnavailable
+				return sent.Load() > 0 || f.write() != http.StatusServiceUnavailable
 			}, 10*time.Second, 200*time.Millisecond)
 			var callers sync.WaitGroup
 			for range endlessCallers {
@@ -107,7 +107,8 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-	_, err = io.WriteString(conn, "POST /write/a HTTP/1.1\r\nHost: soak\r\nContent-Length: 1\r\nFoxtailhall-Deadline-Ms: 2000\r\n\r\nx")
+	_, err = io.WriteString(conn, "POST /write/a HTTP/1.1\r\nHost: soak\r\nContent-Length: 1\r\n"+
+		"Foxtailhall-Deadline-Ms: 2000\r\n\r\nx")
 	for end := time.Now().Add(endlessTime); err == nil && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		_ = conn.SetReadDeadline(end)
 		_, err = conn.Read(make([]byte, 1024))
