gossiper: Take the first era of a store that named none for a rise

A store that names an era only after it came back older would have been vouched for by processes that had read it before. Found by reading; TestEraAges/FromTheFirstOneIfNoneWasNamedBefore failed before.

--- a/coordination/gossiper/era_test.go
+++ b/coordination/gossiper/era_test.go
@@ -55,6 +55,18 @@
 		require.EqualValues(t, 4, g.Era())
 		require.Negative(t, g.EraAge(later))
 	})
+	t.Run("FromTheFirstOneIfNoneWasNamedBefore", func(t *testing.T) {
+		g := newMember()
+		g.RaiseEra(start, 0)
+		g.Confirm(start)
+		g.RaiseEra(start, 1)
+		require.Equal(t, time.Second, g.EraAge(later))
+	})
+	t.Run("NoneIfItIsLearnedWithTheFirstConfirmation", func(t *testing.T) {
+		g := newMember()
+		g.Receive(start, gossiper.Message{Sender: zoned(1), Era: 4, EraAge: -1, Confirmed: 0})
+		require.Negative(t, g.EraAge(later))
+	})
 	t.Run("FromTheRise", func(t *testing.T) {
 		g := newMember()
 		g.RaiseEra(start, 4)
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -310,10 +310,10 @@
 			g.spread(change)
 		}
 	}
+	g.mergeEra(now, message)
 	if message.Confirmed >= 0 {
 		g.Confirm(now.Add(-message.Confirmed))
 	}
-	g.mergeEra(now, message)
 	g.adopted = append(g.adopted, g.warner.Merge(now, message.Warnings)...)
 }
 
--- a/coordination/gossiper/news.go
+++ b/coordination/gossiper/news.go
@@ -33,12 +33,13 @@
 }
 
 // RaiseEra records that the source's data is of an era, which rises when the source comes
-// back from an older copy. A new era is sent to several members in each of the next ticks.
+// back from an older copy. A source may name none before the first time. A new era is sent to
+// several members in each of the next ticks.
 func (g *Gossiper) RaiseEra(now clocker.Instant, era uint64) {
 	if era <= g.era {
 		return
 	}
-	if g.era > 0 {
+	if g.era > 0 || g.everConfirmed {
 		g.eraRoseAt, g.eraRose = now, true
 		g.urgentTicks = versionTicks
 	}
