--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -58,7 +56,7 @@
 			require.Positive(t, served.Load())
 			for process := range f.procs {
 				require.NoError(t, f.procs[process].Process.Signal(syscall.Signal(0)), "the process must live")
-				peak := f.peakMemoryMb(process)
+				peak := memoryMb(t, f.procs[process].Process.Pid, "VmHWM:")
 				t.Logf("process %d: peak of resident memory %d MB, %d requests, %d MB sent", process, peak, served.Load(), sent.Load()>>20)
 				require.LessOrEqual(t, peak, memoryLimitMb)
 			}
@@ -114,14 +112,3 @@
 		_, err = conn.Read(make([]byte, 1024))
 	}
 }
-
-// peakMemoryMb returns the highest resident memory of a process so far.
-func (f *leavingFleet) peakMemoryMb(process int) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.procs[process].Process.Pid))
-	require.NoError(f.t, err)
-	_, rest, ok := strings.Cut(string(status), "VmHWM:")
-	require.True(f.t, ok, "the process must live")
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	require.NoError(f.t, err)
-	return kilobytes >> 10
-}
--- a/proofs/memory_test.go
+++ b/proofs/memory_test.go
@@ -231,12 +231,18 @@
 
 // memoryMb returns a field of the process's status, such as VmRSS, in MB.
 func (f *fleet) memoryMb(i int, field string) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.procs[f.processName(i)].Process.Pid))
-	require.NoError(f.t, err)
+	return memoryMb(f.t, f.procs[f.processName(i)].Process.Pid, field)
+}
+
+// memoryMb returns a field of a process's status, such as VmRSS, in MB.
+func memoryMb(t *testing.T, pid int, field string) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
 	_, rest, ok := strings.Cut(string(status), field)
-	require.True(f.t, ok, "the process must live")
+	require.True(t, ok, "the process must live")
 	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	require.NoError(f.t, err)
+	require.NoError(t, err)
 	return kilobytes >> 10
 }
 
--- a/words_test.go
+++ b/words_test.go
@@ -15,7 +15,8 @@
 // that the program's own interface shares with the platform; see docs/design/8-platform.md.
 var platformWords = regexp.MustCompile(`Foxtailhall-(Response-Seal|Expect-Instance|Not-Executed|Caller-Service` +
 	`|Instance-Id|Server-Load)|/log-(append|read|newest|join|commit|trim)|keyed\.(op|servers|status)|/instances/|/readyz` +
-	`|trafficSplit|targetLatency|warmupLeft|maxConcurrency|heartbeatAddr|entryType|Foxtailhall-Tenant|apiKeys|ratePerS`)
+	`|trafficSplit|targetLatency|warmupLeft|maxConcurrency|heartbeatAddr|entryType|Foxtailhall-Tenant|apiKeys|ratePerS` +
+	`|Store-Era|Server-(Limit|Leaving)`)
 
 // TestPlatformWordsStayInTheAdapter checks that no code outside platform/ and standins/ contains a
 // header, path or name from the platform's interface.
