guard: Let the tests' clock advance only after a dispatch is recorded

Cause: the stand-in server advances the guard's clock as soon as a request arrives, which can be before the guard has recorded that it was sent; the service time then looks like none. What is required of the guard stays as it was. A failed test no longer waits for its own held request.

--- a/transport/guard/statement_test.go
+++ b/transport/guard/statement_test.go
@@ -44,16 +44,41 @@
 	// stopping is set while a planned stop lets only attempts below maxDuringStop begin.
 	stopping atomic.Bool
 	catalog  cataloger.Catalog
+	// dispatched holds an entry for each request whose dispatch the guard has recorded. The
+	// server waits for it before the clock advances, since a request may arrive earlier.
+	dispatched dispatches
 }
 
+// dispatches is a log handler that passes on that a request was dispatched.
+type dispatches chan struct{}
+
+// Enabled implements slog.Handler.
+func (dispatches) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle implements slog.Handler.
+func (d dispatches) Handle(_ context.Context, record slog.Record) error {
+	if record.Message == "Dispatched" {
+		d <- struct{}{}
+	}
+	return nil
+}
+
+// WithAttrs implements slog.Handler.
+func (d dispatches) WithAttrs([]slog.Attr) slog.Handler { return d }
+
+// WithGroup implements slog.Handler.
+func (d dispatches) WithGroup(string) slog.Handler { return d }
+
 const maxDuringStop = time.Second
 
 func newNeedyServer(t *testing.T) *needyServer {
 	t.Helper()
-	s := &needyServer{catalog: cataloger.New()}
+	const maxWaiting = 100
+	s := &needyServer{catalog: cataloger.New(), dispatched: make(dispatches, maxWaiting)}
 	s.limit.Store("")
 	served := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.arrivals.Add(1)
+		<-s.dispatched
 		s.clock.Add(s.serviceTime.Load())
 		if limit, _ := s.limit.Load().(string); limit != "" {
 			w.Header().Set("X-Limit", limit)
@@ -65,7 +90,7 @@
 	t.Cleanup(served.Close)
 	s.guard = guard.New(guard.Dependencies{
 		Incarnation: 1,
-		Log:         slog.New(slog.DiscardHandler),
+		Log:         slog.New(s.dispatched),
 		Now: func() clocker.Instant {
 			return clocker.Instant{Mono: time.Duration(s.clock.Load()), Wall: time.Duration(s.clock.Load())}
 		},
--- a/transport/guard/work_test.go
+++ b/transport/guard/work_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,12 +27,16 @@
 	arrived, released := make(chan struct{}), make(chan struct{})
 	var first atomic.Bool
 	served := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		<-s.dispatched
 		if first.CompareAndSwap(false, true) {
 			close(arrived)
 			<-released
 		}
 	}))
 	t.Cleanup(served.Close)
+	var once sync.Once
+	let := func() { once.Do(func() { close(released) }) }
+	t.Cleanup(let) // The server can't be closed before.
 	s.announce(t, served.URL, "second")
 	ended := make(chan error, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
@@ -40,7 +45,7 @@
 	<-arrived
 	s.clock.Add(int64(time.Second))
 	return s, func() {
-		close(released)
+		let()
 		require.NoError(t, <-ended)
 	}
 }
