--- a/coordination/gossiper/versions_test.go
+++ b/coordination/gossiper/versions_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/foxtailhall/foxtailhall/coordination/delegator"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 )
 
@@ -89,3 +90,31 @@
 	c.members[0].Confirm(c.instant())
 	require.Zero(t, c.members[0].Confirmed(c.instant()))
 }
+
+// TestConfirmationsStayFresh guards against members that follow the source though others do,
+// because news of a read takes longer than a read may fail to reach it.
+func TestConfirmationsStayFresh(t *testing.T) {
+	const zones, followers, readEvery = 3, 3, 5 // rounds of PingPeriod
+	for _, size := range []int{30, 350} {
+		c := newZonedCluster(size, zones, 23)
+		c.until(300, c.complete)
+		require.True(t, c.complete())
+		oldest := time.Duration(0)
+		for round := range 100 {
+			for follower := range zones * followers {
+				if (round+follower)%readEvery == 0 {
+					c.members[follower].Confirm(c.instant())
+				}
+			}
+			c.rounds(1)
+			if round < 5*readEvery {
+				continue
+			}
+			for _, member := range c.members {
+				oldest = max(oldest, member.Confirmed(c.instant()))
+			}
+		}
+		t.Logf("%d members: oldest confirmation %s", size, oldest)
+		require.False(t, delegator.Follows(followers, oldest))
+	}
+}
