--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -132,8 +132,8 @@
 		return
 	}
 	last, ruledOut := enroller.RuledOut(*r.self.Load(), held.announcement.Service, r.roster.Load().Members())
-	// Only a member that has run for long enough knows that there was no earlier process.
-	// The Source knows of none either if its word was only doubted.
+	// Only a member that has run for long enough knows that there was no earlier process. It
+	// is not needed if the Source has no departure either, though it may have lost one.
 	if ruledOut && (last.Incarnation > 0 || askedLongRunning > 0 || r.doubted()) {
 		r.deps.Log.Info("DepartureRuledOut", "Server", held.announcement.ID, "Asked", asked,
 			"Predecessor", last.Incarnation, "Version", last.Version, "Service", last.Service)
