--- a/standins/soaker/callers.go
+++ b/standins/soaker/callers.go
@@ -83,10 +83,12 @@
 	method, body := http.MethodGet, ""
 	switch draw := rand.Float64(); {
 	case draw < versionShare:
-		got.Path = f.drawVersionPath()
-	case draw < versionShare+publicShare:
+		got.Path = f.versionPathOf(0)
+	case draw < versionShare+recentShare:
+		got.Path = f.versionPathOf(rand.IntN(recentVersions))
+	case draw < versionShare+recentShare+publicShare:
 		got.Path, got.Credential = publicPath, credential{lasting: true}
-	case draw < versionShare+publicShare+writeShare:
+	case draw < versionShare+recentShare+publicShare+writeShare:
 		got.Path, got.Idempotent = "/write/a", false
 		method, body = http.MethodPost, strings.Repeat("x", writeBodyBytes)
 	}
--- a/standins/soaker/versions.go
+++ b/standins/soaker/versions.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sort"
@@ -18,8 +17,11 @@
 	// settleTime is how long a process must have been undisturbed before its time
 	// limits apply.
 	settleTime = 3 * time.Second
-	// versionShare is the share of requests to a recent version's own route.
-	versionShare = 0.1
+	// versionShare is the share of requests to the newest version's own route, and
+	// recentShare that of requests to any of recentVersions. Only the older ones of them
+	// show that a version is still missing while others are published.
+	versionShare, recentShare = 0.1, 0.06
+	recentVersions            = 6
 	// versionPath is the prefix of the versions' own routes; the number follows.
 	versionPath = "/version"
 )
@@ -88,20 +90,12 @@
 	return true
 }
 
-// recentVersions is how many of the newest versions callers ask for. Only the older ones of
-// them show that a version is still missing while others are published.
-const recentVersions = 6
-
-// drawVersionPath returns a path on the own route of the newest version or, half of the
-// time, of any recent one.
-func (f *fleet) drawVersionPath() string {
+// versionPathOf returns a path on the own route of the version that was published a number
+// of versions before the newest one.
+func (f *fleet) versionPathOf(before int) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	version := f.version
-	if rand.IntN(2) == 0 {
-		version = max(1, version-rand.IntN(recentVersions))
-	}
-	return fmt.Sprintf("%s%d/a", versionPath, version)
+	return fmt.Sprintf("%s%d/a", versionPath, max(1, f.version-before))
 }
 
 // versionOf returns the version to whose own route a path belongs, or 0.
