runner, meter: Log how long fetches of versions take and how large they are

A late version could have been heard of late, transferred slowly or applied slowly; the logs told only that a fetch had failed. VersionFetched and FetchFailed give the time, VersionInForce and VersionFetched the bytes, and a histogram the times of all fetches.

--- a/transport/meter/meter.go
+++ b/transport/meter/meter.go
@@ -52,6 +52,12 @@
 		Update(took.Seconds())
 }
 
+// ObserveFetch records the time that a fetch of a configuration version from a peer took.
+func (m *Meter) ObserveFetch(succeeded bool, took time.Duration) {
+	m.set.GetOrCreateHistogram("foxtailhall_version_fetch_seconds{succeeded=" +
+		strconv.Quote(strconv.FormatBool(succeeded)) + "}").Update(took.Seconds())
+}
+
 // ObserveEstimate records the relative error of the expected service time of a request.
 func (m *Meter) ObserveEstimate(service string, expected, took time.Duration) {
 	m.set.GetOrCreateHistogram("foxtailhall_estimate_relative_error{service=" + strconv.Quote(service) + "}").
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/foxtailhall/foxtailhall/coordination/delegator"
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
@@ -69,7 +71,7 @@
 		r.deps.Log.Warn("VersionFaulty", "From", from, "Version", number, "Faults", len(faults), "First", faults[0].String())
 	}
 	r.sourceVersion.Store(&version{catalog: catalog, text: text})
-	r.deps.Log.Info("VersionInForce", "Version", number, "Before", before, "From", from, "Objects", catalog.Len())
+	r.deps.Log.Info("VersionInForce", "Version", number, "Before", before, "From", from, "Objects", catalog.Len(), "Bytes", len(text))
 	r.urgent.Store(true)
 	r.deps.Meter.CountEvent("VersionInForce")
 	r.guard.Configure()
@@ -119,11 +121,16 @@
 
 // fetchVersion fetches a newer version from a peer.
 func (r *Runner) fetchVersion(ctx context.Context, address string, number uint64) {
+	started := time.Now()
 	reply, err := r.connector.GuardClient(ctx, address).Fetch(ctx, &messenger.FetchRequest{Have: r.catalog().Version()})
+	took := time.Since(started)
+	r.deps.Meter.ObserveFetch(err == nil, took)
 	if err != nil {
-		r.deps.Log.Info("FetchFailed", "Peer", address, "Version", number, "Error", err)
+		r.deps.Log.Info("FetchFailed", "Peer", address, "Version", number, "TookMs", took.Milliseconds(), "Error", err)
 		return
 	}
+	r.deps.Log.Info("VersionFetched", "Peer", address, "Version", reply.Version, "TookMs", took.Milliseconds(),
+		"Bytes", proto.Size(reply))
 	if reply.Objects != "" {
 		r.applyVersion([]byte(reply.Objects), address)
 	}
