runner, compressor: Compress versions that are sent to other processes

Class of fault: a cost that grows with the size of a value, times the number of those who need it, on the way that a time limit depends on.

Peers ask for the compressed text now, a tenth of the size; it is compressed once a version. TestLargeVersionsFitSlowLinks failed without: 3,450,600 bytes for the peers of one process, 625,000 fit its link in the time.

Ruled out: decoding and checking such a version takes 12.5 ms of processor time. Weighed: differences to the requester's version, which need the earlier texts at both ends.

--- a/transport/runner/configuration.go
+++ b/transport/runner/configuration.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/publisher"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/parser"
 	"github.com/foxtailhall/foxtailhall/transport/appender"
+	"github.com/foxtailhall/foxtailhall/transport/compressor"
+	"github.com/foxtailhall/foxtailhall/transport/connector"
 )
 
 const (
@@ -124,14 +127,19 @@
 		r.fetchVersion(ctx, address, version)
 		return
 	}
-	reply, err := r.connector.GuardClient(ctx, address).Fetch(ctx, &messenger.FetchRequest{Have: r.catalog().Version()})
+	reply, err := r.requestVersion(ctx, address)
 	if err != nil {
 		r.deps.Log.Debug("FetchFailed", "Peer", address, "Error", err)
 		return
 	}
+	objects, err := objectsOf(reply)
+	if err != nil {
+		r.deps.Log.Warn("PeerVersionRefused", "Peer", address, "Version", reply.Version, "Error", err)
+		return
+	}
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
-	next, err := r.logState.Load().WithPeerVersion(reply.Version, reply.AsOf, reply.Id, reply.Objects)
+	next, err := r.logState.Load().WithPeerVersion(reply.Version, reply.AsOf, reply.Id, string(objects))
 	if err != nil {
 		r.deps.Log.Warn("PeerVersionRefused", "Peer", address, "Version", reply.Version, "Error", err)
 		return
@@ -140,24 +148,51 @@
 	r.setLogState(next)
 }
 
-// configurationSince returns the current configuration for a peer that has a given
-// version. The objects are included only if the peer's version is older.
-func (r *Runner) configurationSince(have uint64) (*messenger.Configuration, error) {
+// requestVersion asks a peer for its configuration.
+func (r *Runner) requestVersion(ctx context.Context, address string) (*messenger.Configuration, error) {
+	request := &messenger.FetchRequest{Have: r.catalog().Version(), Deflate: true}
+	reply, err := r.connector.GuardClient(ctx, address).Fetch(ctx, request)
+	if err != nil {
+		return nil, fmt.Errorf("fetching from %s: %w", address, err)
+	}
+	return reply, nil
+}
+
+// objectsOf returns the objects that a peer has sent, nothing if it has no newer version.
+func objectsOf(reply *messenger.Configuration) ([]byte, error) {
+	if len(reply.Deflated) == 0 {
+		return []byte(reply.Objects), nil
+	}
+	objects, err := compressor.Decompress(reply.Deflated, connector.MaxMessageBytes)
+	if err != nil {
+		return nil, fmt.Errorf("decoding version %d: %w", reply.Version, err)
+	}
+	return objects, nil
+}
+
+// configurationFor returns the current configuration for a peer. The objects are included
+// only if the peer's version is older.
+func (r *Runner) configurationFor(request *messenger.FetchRequest) (*messenger.Configuration, error) {
 	catalog := r.catalog()
 	reply := &messenger.Configuration{Version: catalog.Version(), AsOf: catalog.AsOf(), Id: catalog.ID()}
-	if catalog.Version() <= have {
+	if catalog.Version() <= request.Have {
 		return reply, nil
 	}
-	if r.deps.Source != nil {
-		reply.Objects = string(r.sourceVersion.Load().text)
-		return reply, nil
+	current := r.sourceVersion.Load()
+	if r.deps.Source == nil {
+		objects, err := parser.Format(catalog.Objects())
+		if err != nil {
+			return nil, err
+		}
+		current = newVersion(catalog, []byte(objects))
 	}
-	objects, err := parser.Format(catalog.Objects())
-	if err != nil {
-		return nil, err
+	if !request.Deflate {
+		reply.Objects = string(current.text)
+		return reply, nil
 	}
-	reply.Objects = objects
-	return reply, nil
+	var err error
+	reply.Deflated, err = current.compressed()
+	return reply, err
 }
 
 // appendSnapshot appends a snapshot of the current configuration before the last
--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -115,7 +115,7 @@
 
 // Fetch returns the current configuration.
 func (s *responder) Fetch(_ context.Context, request *messenger.FetchRequest) (*messenger.Configuration, error) {
-	return s.runner.configurationSince(request.Have)
+	return s.runner.configurationFor(request)
 }
 
 // AcquireQuota decides about quota as the home of a customer. It passes a request on that is
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -158,7 +158,7 @@
 	logState := publisher.New(deps.Parser)
 	r.logState.Store(&logState)
 	r.settings.Store(&deps.Settings)
-	r.sourceVersion.Store(&version{catalog: cataloger.New()})
+	r.sourceVersion.Store(newVersion(cataloger.New(), nil))
 	r.enroller = enroller.New(deps.Settings.ServerAddress, r.now())
 	if source := deps.Source; source != nil {
 		r.registration = newRegistration()
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -3,14 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/foxtailhall/foxtailhall/coordination/delegator"
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
-	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/transport/compressor"
 )
 
 // Source replaces the log as the origin of the configuration, in numbered and
@@ -46,6 +47,15 @@
 type version struct {
 	catalog cataloger.Catalog
 	text    []byte
+	// compressed returns the compressed text. It compresses the text at the first call.
+	compressed func() ([]byte, error)
+}
+
+func newVersion(catalog cataloger.Catalog, text []byte) *version {
+	return &version{
+		catalog: catalog, text: text,
+		compressed: sync.OnceValues(func() ([]byte, error) { return compressor.Compress(text) }),
+	}
 }
 
 // applyVersion decodes a version and applies it if it is newer than the current one. It
@@ -70,8 +80,9 @@
 	if faults := catalog.Faults(); len(faults) > 0 {
 		r.deps.Log.Warn("VersionFaulty", "From", from, "Version", number, "Faults", len(faults), "First", faults[0].String())
 	}
-	r.sourceVersion.Store(&version{catalog: catalog, text: text})
-	r.deps.Log.Info("VersionInForce", "Version", number, "Before", before, "From", from, "Objects", catalog.Len(), "Bytes", len(text))
+	r.sourceVersion.Store(newVersion(catalog, text))
+	r.deps.Log.Info("VersionInForce", "Version", number, "Before", before, "From", from, "Objects", catalog.Len(),
+		"Bytes", len(text))
 	r.urgent.Store(true)
 	r.deps.Meter.CountEvent("VersionInForce")
 	r.guard.Configure()
@@ -122,7 +133,7 @@
 // fetchVersion fetches a newer version from a peer.
 func (r *Runner) fetchVersion(ctx context.Context, address string, number uint64) {
 	started := time.Now()
-	reply, err := r.connector.GuardClient(ctx, address).Fetch(ctx, &messenger.FetchRequest{Have: r.catalog().Version()})
+	reply, err := r.requestVersion(ctx, address)
 	took := time.Since(started)
 	r.deps.Meter.ObserveFetch(err == nil, took)
 	if err != nil {
@@ -131,7 +142,12 @@
 	}
 	r.deps.Log.Info("VersionFetched", "Peer", address, "Version", reply.Version, "TookMs", took.Milliseconds(),
 		"Bytes", proto.Size(reply))
-	if reply.Objects != "" {
-		r.applyVersion([]byte(reply.Objects), address)
+	text, err := objectsOf(reply)
+	if err != nil {
+		r.deps.Log.Warn("VersionSkipped", "From", address, "Error", err)
+		return
+	}
+	if len(text) > 0 {
+		r.applyVersion(text, address)
 	}
 }
