forwarder: Take no reset answer to an upload for a whole one

The kernel reports a reset once. If the writer of the upload gets that error, the reader sees an orderly end of the connection, which ends a body without a length.

Such a body is whole now only if the request was written without an error. A request that is still being written gets 2 s to end, so that a server may close its side first and read on.

Ruled out: bodies with a length or in chunks, and requests without a streamed body, which are written before the answer is read.

--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -21,6 +21,9 @@
 	// maxSkippedBytes the body of each.
 	maxMismatched   = 3
 	maxSkippedBytes = 1 << 20
+	// lingerTimeout is how long a request may still be written after the server has ended an
+	// answer by closing the connection.
+	lingerTimeout = 2 * time.Second
 	// maxInterim bounds the interim answers, such as 100 Continue, before the final one.
 	maxInterim = 8
 )
@@ -204,7 +207,7 @@
 		e.remaining -= int64(n)
 		e.complete = e.remaining == 0
 	} else {
-		e.complete = ended
+		e.complete = ended && (e.length != lengthUntilClose || e.requestWhole())
 	}
 	switch {
 	case e.complete:
@@ -217,6 +220,20 @@
 	return n, nil
 }
 
+// requestWhole reports whether the whole request was written. It waits up to lingerTimeout for
+// the rest of it. The kernel reports a reset of the connection only once: if the writer of the
+// request gets that error, the reader sees an orderly end.
+func (e *Exchange) requestWhole() bool {
+	timer := time.NewTimer(lingerTimeout)
+	defer timer.Stop()
+	select {
+	case <-e.requestWritten:
+		return e.writeErr == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // Drain reads the rest of the body so that the connection can be reused, unless that
 // takes more than drainTimeout or drainBytes. It must not be called after a read failed.
 func (e *Exchange) Drain() {
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -213,6 +213,56 @@
 	})
 }
 
+// TestResetAnswersToUploadsNeverLookWhole guards against a part of an answer that is taken for
+// all of it, because the reset of the connection was reported to the writer of the upload.
+func TestResetAnswersToUploadsNeverLookWhole(t *testing.T) {
+	const part = 1 << 20
+	// answer starts an upload and returns its exchange once the start of the answer was read.
+	answer := func(t *testing.T, end func(conn *net.TCPConn, in *bufio.Reader)) (*forwarder.Exchange, *io.PipeWriter, chan struct{}) {
+		ending := make(chan struct{})
+		s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+			if _, err := http.ReadRequest(in); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				<-ending
+				end(conn.(*net.TCPConn), in)
+			}
+		})
+		upload, feed := io.Pipe()
+		exchange, err := send(t, s.forwarder(), "a", upload, part)
+		require.NoError(t, err)
+		_, err = io.ReadFull(exchange, make([]byte, len("part")))
+		require.NoError(t, err)
+		return exchange, feed, ending
+	}
+	t.Run("Reset", func(t *testing.T) {
+		exchange, feed, ending := answer(t, func(conn *net.TCPConn, _ *bufio.Reader) { _ = conn.SetLinger(0) })
+		close(ending)
+		// The writer meets the reset before the connection is read again.
+		go func() { _, _ = io.WriteString(feed, strings.Repeat("x", part)) }()
+		time.Sleep(100 * time.Millisecond)
+		_, err := io.ReadAll(exchange)
+		require.Error(t, err)
+		require.False(t, exchange.Complete())
+		_ = feed.CloseWithError(io.ErrUnexpectedEOF)
+		exchange.Close()
+	})
+	t.Run("Closed", func(t *testing.T) {
+		exchange, feed, ending := answer(t, func(conn *net.TCPConn, in *bufio.Reader) {
+			_ = conn.CloseWrite()
+			_, _ = io.CopyN(io.Discard, in, part)
+		})
+		close(ending)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(feed, strings.Repeat("x", part))
+		}()
+		_, err := io.ReadAll(exchange)
+		require.NoError(t, err)
+		require.True(t, exchange.Complete())
+		exchange.Close()
+	})
+}
+
 // TestHeadsThatEndEarlyAreNoAnswer guards against a success with an empty or short body for a
 // server that stopped in the middle of its answer's head and closed.
 func TestHeadsThatEndEarlyAreNoAnswer(t *testing.T) {
