forwarder: Take no answer without a valid status line

The beginning of each head is checked now before the library reads it: HTTP/1.x and three digits from 100 to 599. Nothing else is an answer; the attempt has an unknown outcome, as with other bytes.

--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/bytebufferpool"
@@ -26,8 +27,15 @@
 	lingerTimeout = 2 * time.Second
 	// maxInterim bounds the interim answers, such as 100 Continue, before the final one.
 	maxInterim = 8
+	// maxEmptyLineBytes bounds the empty lines before an answer.
+	maxEmptyLineBytes = 8
+	// statusLineBytes is the length of the part of an answer that statusLine matches.
+	statusLineBytes = len("HTTP/1.1 200 ")
 )
 
+// statusLine matches the beginning of a valid answer.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9][0-9][ \r\n]$`)
+
 // Values of a body length that is not known in advance.
 const (
 	lengthChunked = -1
@@ -159,6 +167,9 @@
 // readFinalHead reads the next head of a final answer and skips interim ones.
 func (e *Exchange) readFinalHead() error {
 	for range maxInterim {
+		if err := e.checkStatusLine(); err != nil {
+			return err
+		}
 		if err := resp.ReadHeaders(e.Response, e.conn.reader); err != nil {
 			return fmt.Errorf("reading the answer's head: %w", err)
 		}
@@ -170,6 +181,28 @@
 	return ErrTooManyInterim
 }
 
+// checkStatusLine checks the beginning of the next head, and skips empty lines before it. The
+// HTTP library takes any protocol, and the status 000 for 200.
+func (e *Exchange) checkStatusLine() error {
+	for range maxEmptyLineBytes {
+		first, err := e.conn.reader.Peek(1)
+		if err != nil || first[0] != '\r' && first[0] != '\n' {
+			break
+		}
+		if err := e.conn.reader.Skip(1); err != nil {
+			return fmt.Errorf("reading the answer's head: %w", err)
+		}
+	}
+	line, err := e.conn.reader.Peek(statusLineBytes)
+	if err != nil {
+		return fmt.Errorf("reading the answer's head: %w", err)
+	}
+	if !statusLine.Match(line) {
+		return fmt.Errorf("%w: %q", ErrInvalidStatusLine, line)
+	}
+	return nil
+}
+
 func (e *Exchange) openBody(headOnly bool) {
 	if headOnly || e.Response.MustSkipBody() {
 		e.complete = true
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -289,6 +289,37 @@
 	}
 }
 
+// TestInvalidStatusLinesAreNoAnswer guards against a success for an answer whose status is 000.
+func TestInvalidStatusLinesAreNoAnswer(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 0 OK", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK",
+		"HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2000 OK", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK", "garbage 200 OK", "200 OK",
+	} {
+		t.Run(line, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, ok := readRequest(in); ok {
+					_, _ = io.WriteString(conn, line+"\r\nId: a\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			exchange, err := send(t, s.forwarder(), "a", nil, 0)
+			if err == nil {
+				exchange.Close()
+			}
+			require.Error(t, err)
+		})
+	}
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.0 200 OK", "\r\nHTTP/1.1 200 OK", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"} {
+		t.Run("Valid"+line, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, ok := readRequest(in); ok {
+					_, _ = io.WriteString(conn, line+"\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			requireBody(t, s.forwarder(), "a", "ok")
+		})
+	}
+}
+
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	s := serve(t, func(conn net.Conn, in *bufio.Reader) {
 		_, err := http.ReadRequest(in)
