--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -218,7 +218,9 @@
 func TestResetAnswersToUploadsNeverLookWhole(t *testing.T) {
 	const part = 1 << 20
 	// answer starts an upload and returns its exchange once the start of the answer was read.
-	answer := func(t *testing.T, end func(conn *net.TCPConn, in *bufio.Reader)) (*forwarder.Exchange, *io.PipeWriter, chan struct{}) {
+	answer := func(
+		t *testing.T, end func(conn *net.TCPConn, in *bufio.Reader),
+	) (*forwarder.Exchange, *io.PipeWriter, chan struct{}) {
 		ending := make(chan struct{})
 		s := serve(t, func(conn net.Conn, in *bufio.Reader) {
 			if _, err := http.ReadRequest(in); err == nil {
@@ -308,7 +310,10 @@
 			require.Error(t, err)
 		})
 	}
-	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.0 200 OK", "\r\nHTTP/1.1 200 OK", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"} {
+	for _, line := range []string{
+		"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.0 200 OK", "\r\nHTTP/1.1 200 OK",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+	} {
 		t.Run("Valid"+line, func(t *testing.T) {
 			s := serve(t, func(conn net.Conn, in *bufio.Reader) {
 				if _, ok := readRequest(in); ok {
