requester, repeater: Request no answer again while it arrives

A read of several such versions takes most of a second on a link of 10 Mbit/s, after up to 1 s of waiting; the call counts as overdue after 1.5 s and is made again beside the first one, which halves the link for both.

A part of an answer postpones the next attempt by its period. An answer that stops is still requested again.

Class of fault: a repetition that adds to the load which made it due, as the fetches of versions did.

--- a/coordination/repeater/repeater.go
+++ b/coordination/repeater/repeater.go
@@ -27,6 +27,9 @@
 	patience Patience
 	// made is the number of attempts, and failed that of those that ended without an answer.
 	made, failed int
+	// heard is how long after the begin of the call a part of an answer last arrived, 0 if
+	// none has.
+	heard time.Duration
 }
 
 // New returns a call without an attempt.
@@ -48,11 +51,21 @@
 	return c, c.failed >= c.made
 }
 
+// WithPart returns the call after a part of an answer has arrived at a time after its begin.
+// Another attempt would only share the path with one that is being answered.
+func (c Call) WithPart(at time.Duration) Call {
+	c.heard = max(c.heard, at)
+	return c
+}
+
 // NextAt returns how long after the begin of the call the next attempt is due, and reports
 // whether there is one.
 func (c Call) NextAt() (at time.Duration, ok bool) {
 	if c.made > 0 {
 		at = c.patience.Overdue + time.Duration(c.made-1)*c.patience.Period
 	}
+	if c.heard > 0 {
+		at = max(at, c.heard+c.patience.Period)
+	}
 	return at, at < c.patience.Limit
 }
--- a/coordination/repeater/repeater_test.go
+++ b/coordination/repeater/repeater_test.go
@@ -30,6 +30,27 @@
 	require.Equal(t, len(due), call.Made())
 }
 
+// TestAnswersThatArriveAreNotOverdue guards against long answers that are requested again while
+// they arrive over a slow link, and arrive later for it.
+func TestAnswersThatArriveAreNotOverdue(t *testing.T) {
+	call := repeater.New(patience).WithAttempt()
+	for at := time.Second; at < patience.Limit-patience.Period; at += 100 * time.Millisecond {
+		call = call.WithPart(at)
+		next, ok := call.NextAt()
+		require.True(t, ok)
+		require.Equal(t, max(patience.Overdue, at+patience.Period), next)
+	}
+	t.Run("UntilTheyStop", func(t *testing.T) {
+		next, ok := repeater.New(patience).WithAttempt().WithPart(patience.Overdue).NextAt()
+		require.True(t, ok)
+		require.Equal(t, patience.Overdue+patience.Period, next)
+	})
+	t.Run("AtTheLimit", func(t *testing.T) {
+		_, ok := call.WithPart(patience.Limit - time.Millisecond).NextAt()
+		require.False(t, ok)
+	})
+}
+
 func TestFailures(t *testing.T) {
 	t.Run("TheOnlyAttempt", func(t *testing.T) {
 		_, failed := repeater.New(patience).WithAttempt().WithFailure()
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -43,6 +44,7 @@
 	ctx, cancel := context.WithTimeout(ctx, patience.Limit)
 	defer cancel()
 	call, started := repeater.New(patience), time.Now()
+	heard := &hearing{since: started}
 	results := make(chan result)
 	due := time.NewTimer(0)
 	defer due.Stop()
@@ -52,11 +54,14 @@
 			return nil, fmt.Errorf("calling: %w of %d ms, attempts: %d: %w",
 				repeater.ErrUnanswered, time.Since(started).Milliseconds(), call.Made(), ctx.Err())
 		case <-due.C:
-			call = call.WithAttempt()
-			sent := &protocol.Request{}
-			request.CopyTo(sent)
-			request = repeated
-			go r.attempt(ctx, sent, results)
+			call = call.WithPart(heard.last())
+			if at, ok := call.NextAt(); ok && at <= time.Since(started) {
+				call = call.WithAttempt()
+				sent := &protocol.Request{}
+				request.CopyTo(sent)
+				request = repeated
+				go r.attempt(ctx, sent, heard, results)
+			}
 			if at, ok := call.NextAt(); ok {
 				due.Reset(at - time.Since(started))
 			}
@@ -80,8 +85,8 @@
 
 // attempt sends a request once and passes on the outcome, unless the context
 // ends before.
-func (r *Requester) attempt(ctx context.Context, request *protocol.Request, results chan<- result) {
-	answer, err := r.send(ctx, request)
+func (r *Requester) attempt(ctx context.Context, request *protocol.Request, heard *hearing, results chan<- result) {
+	answer, err := r.send(ctx, request, heard)
 	select {
 	case results <- result{answer: answer, err: err}:
 	case <-ctx.Done():
@@ -89,13 +94,13 @@
 }
 
 // send sends a request once.
-func (r *Requester) send(ctx context.Context, request *protocol.Request) (*protocol.Response, error) {
+func (r *Requester) send(ctx context.Context, request *protocol.Request, heard *hearing) (*protocol.Response, error) {
 	exchange, err := r.forwarder.Send(ctx, request, accept, func() {})
 	if err != nil {
 		return nil, fmt.Errorf("calling: %w", err)
 	}
 	defer exchange.Close()
-	body, err := io.ReadAll(io.LimitReader(exchange, maxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(io.TeeReader(exchange, heard), maxBodyBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("reading the answer: %w", err)
 	}
@@ -108,5 +113,20 @@
 	return answer, nil
 }
 
+// hearing tracks when a part of an answer's body last arrived. It is safe for concurrent use.
+type hearing struct {
+	since time.Time
+	// at is the time from since to the last part, 0 before the first.
+	at atomic.Int64
+}
+
+// Write implements io.Writer. It ignores the part itself.
+func (h *hearing) Write(part []byte) (int, error) {
+	h.at.Store(int64(time.Since(h.since)))
+	return len(part), nil
+}
+
+func (h *hearing) last() time.Duration { return time.Duration(h.at.Load()) }
+
 // accept takes every answer: calls have no ID by which to tell them apart.
 func accept(*protocol.ResponseHeader) (mismatched bool, idleTimeout time.Duration) { return false, 0 }
