delegator, gossiper, platform: Replace the lost readers of a zone in time

Others read it themselves once no process of the fleet has for 3.0 s and up to 3.0 s more by rank, checked each 0.5 s; and a zone without readers never does while other zones have some. News of versions spreads slowly where most members are dead. Class of fault: a fallback whose wait is longer than the time limit that it protects.

The reads that count are those of the own zone, and the wait is at most 1.92 s, checked each 0.2 s.

TestFollows/ByTurns required that rank 50 does not follow 3.5 s after the last read, which is later than users allow; it requires now that each rank follows later than the one before. TestConfirmationsStayFresh still holds, for reads of the own zone as well.

--- a/coordination/delegator/delegator.go
+++ b/coordination/delegator/delegator.go
@@ -18,12 +18,13 @@
 	PollWait = time.Second
 	// PollSlack is the time after PollWait from which on a read is overdue.
 	PollSlack = 500 * time.Millisecond
-	// confirmationTimeout is the age of the last successful read of any follower from
-	// which on others follow the source themselves.
-	confirmationTimeout = PollWait + PollSlack + 1500*time.Millisecond
+	// confirmationTimeout is the age of the last successful read of any follower of the zone
+	// from which on others follow the source themselves. With the delay of the last rank it
+	// stays below the shortest time within which users require a version to be in force.
+	confirmationTimeout = PollWait + PollSlack + 100*time.Millisecond
 	// takeoverDelay is added to confirmationTimeout for each rank, up to maxDelayedRank,
 	// so that not all members call a source that comes back at the same moment.
-	takeoverDelay  = 50 * time.Millisecond
+	takeoverDelay  = 2 * time.Millisecond
 	maxDelayedRank = 60
 )
 
@@ -41,7 +42,7 @@
 }
 
 // Follows reports whether the process of a rank follows the source. confirmed is the age
-// of the last successful read that it knows of, its own or another's.
+// of the last successful read by a process of its zone that it knows of, its own or another's.
 func Follows(rank int, confirmed time.Duration) bool {
 	return rank < followersPerZone || confirmed > confirmationTimeout+time.Duration(min(rank, maxDelayedRank))*takeoverDelay
 }
--- a/coordination/delegator/delegator_test.go
+++ b/coordination/delegator/delegator_test.go
@@ -35,9 +35,26 @@
 		require.False(t, delegator.Follows(200, delegator.PollWait+delegator.PollSlack))
 		require.True(t, delegator.Follows(200, time.Minute))
 	})
+	// since returns the age of the last read from which on a process follows.
+	since := func(rank int) time.Duration {
+		age := time.Duration(0)
+		for !delegator.Follows(rank, age) {
+			age += time.Millisecond
+		}
+		return age
+	}
 	t.Run("ByTurns", func(t *testing.T) {
-		const age = delegator.PollWait + delegator.PollSlack + 2*time.Second
-		require.True(t, delegator.Follows(3, age))
-		require.False(t, delegator.Follows(50, age))
+		for rank := 3; rank < 60; rank++ {
+			require.Less(t, since(rank), since(rank+1))
+		}
+	})
+	// Guards against versions that are late at all processes of a zone that has lost its
+	// followers, since the others wait longer than a version may take.
+	t.Run("InTime", func(t *testing.T) {
+		const (
+			applyTime   = 2 * time.Second
+			checkPeriod = 200 * time.Millisecond
+		)
+		require.LessOrEqual(t, since(200)+checkPeriod, applyTime)
 	})
 }
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -82,10 +82,9 @@
 	configVersion uint64
 	// urgentTicks is how many of the next ticks ping several members.
 	urgentTicks int
-	// confirmedAt is when the source of the configuration was last known to be read,
-	// once everConfirmed is set.
-	confirmedAt   clocker.Instant
-	everConfirmed bool
+	// confirmed is when the source of the configuration was last known to be read by any
+	// member, and zoneConfirmed by one of the own availability zone.
+	confirmed, zoneConfirmed confirmation
 	// era is the latest known era of the source's data, 0 for none. eraRoseAt is when a
 	// process saw it rise, once eraRose is set.
 	era       uint64
@@ -312,7 +311,10 @@
 	}
 	g.mergeEra(now, message)
 	if message.Confirmed >= 0 {
-		g.Confirm(now.Add(-message.Confirmed))
+		g.confirmed = g.confirmed.withRead(now.Add(-message.Confirmed))
+	}
+	if message.ZoneConfirmed >= 0 && message.Sender.Zone == g.self.Zone {
+		g.zoneConfirmed = g.zoneConfirmed.withRead(now.Add(-message.ZoneConfirmed))
 	}
 	g.adopted = append(g.adopted, g.warner.Merge(now, message.Warnings)...)
 }
--- a/coordination/gossiper/message.go
+++ b/coordination/gossiper/message.go
@@ -18,6 +18,9 @@
 	// Confirmed is the age of the last successful read of the configuration's source
 	// that the sender knows of, negative if it knows of none.
 	Confirmed time.Duration
+	// ZoneConfirmed is the same of reads by members of the sender's availability zone. It is
+	// negative in messages to other zones.
+	ZoneConfirmed time.Duration
 	// Era is the latest era of the source's data that the sender knows of, 0 for none.
 	Era uint64
 	// EraAge is the time since a process saw the era rise, negative if the sender knows of none.
--- a/coordination/gossiper/news.go
+++ b/coordination/gossiper/news.go
@@ -16,22 +16,43 @@
 	g.configVersion = configVersion
 }
 
-// Confirm records that the source of the configuration was read at a time.
-func (g *Gossiper) Confirm(at clocker.Instant) {
-	if !g.everConfirmed || at.Mono > g.confirmedAt.Mono {
-		g.confirmedAt, g.everConfirmed = at, true
+// confirmation is when the source was last known to be read. It is immutable.
+type confirmation struct {
+	at clocker.Instant
+	// ever is set once at is.
+	ever bool
+}
+
+// withRead returns the confirmation once the source is known to have been read at a time.
+func (c confirmation) withRead(at clocker.Instant) confirmation {
+	if c.ever && at.Mono <= c.at.Mono {
+		return c
 	}
+	return confirmation{at: at, ever: true}
 }
 
-// Confirmed returns the age of the last successful read of the configuration's source
-// by any process, as far as this one knows, negative if it knows of none.
-func (g *Gossiper) Confirmed(now clocker.Instant) time.Duration {
-	if !g.everConfirmed {
+// age returns the time since the last read, negative if none is known.
+func (c confirmation) age(now clocker.Instant) time.Duration {
+	if !c.ever {
 		return -1
 	}
-	return now.Since(g.confirmedAt)
+	return now.Since(c.at)
+}
+
+// Confirm records that this process has read the source of the configuration at a time.
+func (g *Gossiper) Confirm(at clocker.Instant) {
+	g.confirmed = g.confirmed.withRead(at)
+	g.zoneConfirmed = g.zoneConfirmed.withRead(at)
 }
 
+// Confirmed returns the age of the last successful read of the configuration's source
+// by any process, as far as this one knows, negative if it knows of none.
+func (g *Gossiper) Confirmed(now clocker.Instant) time.Duration { return g.confirmed.age(now) }
+
+// ZoneConfirmed returns the age of the last such read by a process of the own availability
+// zone, negative if this one knows of none.
+func (g *Gossiper) ZoneConfirmed(now clocker.Instant) time.Duration { return g.zoneConfirmed.age(now) }
+
 // RaiseEra records that the source's data is of an era, which rises when the source comes
 // back from an older copy. A source may name none before the first time. A new era is sent to
 // several members in each of the next ticks.
@@ -39,7 +60,7 @@
 	if era <= g.era {
 		return
 	}
-	if g.era > 0 || g.everConfirmed {
+	if g.era > 0 || g.confirmed.ever {
 		g.eraRoseAt, g.eraRose = now, true
 		g.urgentTicks = versionTicks
 	}
--- a/coordination/gossiper/spread.go
+++ b/coordination/gossiper/spread.go
@@ -24,11 +24,15 @@
 		Digest:        g.roster.Digest(),
 		ConfigVersion: g.configVersion,
 		Confirmed:     g.Confirmed(now),
+		ZoneConfirmed: -1,
 		Era:           g.era,
 		EraAge:        g.EraAge(now),
 		WantFull:      wantFull,
 		Warnings:      g.warner.Current(now, g.warningsFor(to.Zone)),
 	}
+	if to.Zone == g.self.Zone {
+		message.ZoneConfirmed = g.ZoneConfirmed(now)
+	}
 	if wantFull {
 		message.Known = g.roster.Fingerprints()
 	}
--- a/coordination/gossiper/versions_test.go
+++ b/coordination/gossiper/versions_test.go
@@ -91,6 +91,30 @@
 	require.Zero(t, c.members[0].Confirmed(c.instant()))
 }
 
+// TestConfirmationsOfAZone guards against a zone that has lost its followers and whose other
+// members don't follow the source, since processes of other zones do.
+func TestConfirmationsOfAZone(t *testing.T) {
+	const zones = 3
+	c := newZonedCluster(30, zones, 25)
+	c.until(300, c.complete)
+	for range 25 {
+		for follower := range 3 * zones {
+			if follower%zones != 2 {
+				c.members[follower].Confirm(c.instant())
+			}
+		}
+		c.rounds(1)
+	}
+	for i, member := range c.members {
+		require.False(t, delegator.Follows(3, member.Confirmed(c.instant())))
+		if i%zones == 2 {
+			require.Negative(t, member.ZoneConfirmed(c.instant()))
+			continue
+		}
+		require.False(t, delegator.Follows(3, member.ZoneConfirmed(c.instant())))
+	}
+}
+
 // TestConfirmationsStayFresh guards against members that follow the source though others do,
 // because news of a read takes longer than a read may fail to reach it.
 func TestConfirmationsStayFresh(t *testing.T) {
@@ -111,7 +135,7 @@
 				continue
 			}
 			for _, member := range c.members {
-				oldest = max(oldest, member.Confirmed(c.instant()))
+				oldest = max(oldest, member.Confirmed(c.instant()), member.ZoneConfirmed(c.instant()))
 			}
 		}
 		t.Logf("%d members: oldest confirmation %s", size, oldest)
--- a/transport/converter/converter.go
+++ b/transport/converter/converter.go
@@ -57,17 +57,18 @@
 		changes = append(changes, MemberToProto(change))
 	}
 	return &messenger.GossipMessage{
-		Sender:        MemberToProto(message.Sender),
-		Changes:       changes,
-		Digest:        message.Digest,
-		ConfigVersion: message.ConfigVersion,
-		Full:          message.Full,
-		WantFull:      message.WantFull,
-		Known:         message.Known,
-		Warnings:      warningsToProto(message.Warnings),
-		ConfirmedMs:   ageToProto(message.Confirmed),
-		Era:           message.Era,
-		EraAgeMs:      ageToProto(message.EraAge),
+		Sender:          MemberToProto(message.Sender),
+		Changes:         changes,
+		Digest:          message.Digest,
+		ConfigVersion:   message.ConfigVersion,
+		Full:            message.Full,
+		WantFull:        message.WantFull,
+		Known:           message.Known,
+		Warnings:        warningsToProto(message.Warnings),
+		ConfirmedMs:     ageToProto(message.Confirmed),
+		ZoneConfirmedMs: ageToProto(message.ZoneConfirmed),
+		Era:             message.Era,
+		EraAgeMs:        ageToProto(message.EraAge),
 	}
 }
 
@@ -87,6 +88,7 @@
 		Known:         message.GetKnown(),
 		Warnings:      warningsFromProto(message.GetWarnings()),
 		Confirmed:     ageFromProto(message.GetConfirmedMs()),
+		ZoneConfirmed: ageFromProto(message.GetZoneConfirmedMs()),
 		Era:           message.GetEra(),
 		EraAge:        ageFromProto(message.GetEraAgeMs()),
 	}
--- a/transport/runner/versions.go
+++ b/transport/runner/versions.go
@@ -110,7 +110,7 @@
 // The others fetch them from their peers.
 func (r *Runner) followsSource() bool {
 	r.gossipMu.Lock()
-	confirmed := r.gossip.Confirmed(r.now())
+	confirmed := r.gossip.ZoneConfirmed(r.now())
 	r.gossipMu.Unlock()
 	rank := delegator.Rank(r.roster.Load().Members(), r.deps.Settings.Zone, r.incarnation)
 	follows := confirmed < 0 || delegator.Follows(rank, confirmed)
