review: end the processes of a case when its script is terminated

A script that got SIGTERM left its processes running, and an unexpected error ended it with 1, which means that the rule was broken.

--- a/review/standin-2/kit.py
+++ b/review/standin-2/kit.py
@@ -452,6 +452,8 @@
     async def close(self):
         for task in self.background:
             task.cancel()
+        # A start that is cancelled midway ends its process itself.
+        await asyncio.gather(*self.background, return_exceptions=True)
         for process in self.processes:
             if process.returncode is None:
                 process.kill()
@@ -473,6 +475,8 @@
     """Plays a case and exits with 0 if the rule held, 1 if it was broken and 2 if it could not run."""
     async def run():
         case = Case(folder, bounds)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         case.record.write(f"trouble: {'yes' if TROUBLE else 'no'}")
         try:
             if not os.access(PROGRAM, os.X_OK):
@@ -480,7 +484,7 @@
             await case.store.start()
             broken = await asyncio.wait_for(play(case), limit)
             verdict = BROKEN if broken else HELD
-        except (CouldNotRun, OSError, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # Anything else than a verdict.
             case.record.write(f"could not run: {error!r}")
             verdict = NOT_RUN
         finally:
