framer: read the heads of answers strictly

Two unequal Content-Length lines gave a 200 with either length; a folded field moved the body by the bytes that the unfolding removes; blanks, control bytes or nothing before the colon, values with NUL or a bare CR, bare line feeds, "Transfer-Encoding: identity" or "gzip, chunked", a status of 000 behind 100 Continue, and 101 passed as well. Some were kept open until the deadline (504).

Cause: two readers of heads. That of callers' requests checks them, that of servers' answers left them to the HTTP library, which takes any line with a colon, unfolds lines, lets the last length win, takes any transfer coding for chunks, and reads the head behind 100 Continue by itself, past the check of the status line.

Change: transport/framer reads the heads of requests and of answers line by line, and fails at the first one that HTTP/1.1 does not allow. An answer must besides have one length that fits its status; two Content-Type or Content-Encoding lines are refused, since only one could be passed on. Such an answer fails like one that breaks off: 502, or a repeat where the request may repeat, the connection is closed, and breaker and detector hear of it. The parsed fields go to the library's header directly, so that no second reader can differ. Lengths with leading zeros are still taken from callers.

--- a/transport/acceptor/connection.go
+++ b/transport/acceptor/connection.go
@@ -17,6 +17,7 @@
 
 	"github.com/foxtailhall/foxtailhall/coordination/allocator"
 	"github.com/foxtailhall/foxtailhall/transport/chunker"
+	"github.com/foxtailhall/foxtailhall/transport/framer"
 	"github.com/foxtailhall/foxtailhall/transport/reader"
 	"github.com/foxtailhall/foxtailhall/transport/reserver"
 )
@@ -302,9 +303,9 @@
 	var status int
 	var reason string
 	switch {
-	case errors.Is(err, ErrMalformed):
+	case errors.Is(err, framer.ErrMalformed):
 		status, reason = consts.StatusBadRequest, "MalformedHead"
-	case errors.Is(err, ErrHeadTooLong):
+	case errors.Is(err, framer.ErrHeadTooLong):
 		status, reason = consts.StatusRequestHeaderFieldsTooLarge, "HeadTooLong"
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status, reason = consts.StatusRequestTimeout, "HeadTimeout"
--- a/transport/acceptor/head_test.go
+++ b/transport/acceptor/head_test.go
@@ -11,6 +11,8 @@
 	"github.com/foxtailhall/foxtailhall/transport/reader"
 )
 
+var headEnd = []byte("\r\n\r\n")
+
 // FuzzHead checks that an accepted head is unambiguous, and that reading it consumes
 // exactly its own bytes.
 func FuzzHead(f *testing.F) {
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -4,17 +4,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"regexp"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/bytebufferpool"
+	"github.com/cloudwego/hertz/pkg/common/utils"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/foxtailhall/foxtailhall/transport/chunker"
+	"github.com/foxtailhall/foxtailhall/transport/framer"
 )
 
 const (
@@ -27,20 +27,9 @@
 	lingerTimeout = 2 * time.Second
 	// maxInterim bounds the interim answers, such as 100 Continue, before the final one.
 	maxInterim = 8
-	// maxEmptyLineBytes bounds the empty lines before an answer.
-	maxEmptyLineBytes = 8
-	// statusLineBytes is the length of the part of an answer that statusLine matches.
-	statusLineBytes = len("HTTP/1.1 200 ")
-)
-
-// statusLine matches the beginning of a valid answer.
-var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] [1-5][0-9][0-9][ \r\n]$`)
-
-// Values of a body length that is not known in advance.
-const (
-	lengthChunked = -1
-	// lengthUntilClose is that of a body that ends when the server closes the connection.
-	lengthUntilClose = -2
+	// maxEmptyLines bounds the empty lines before an answer.
+	maxEmptyLines = 4
+	emptyLine     = "\r\n"
 )
 
 // Exchange is one request to the backend server and its answer. It must be closed.
@@ -56,10 +45,12 @@
 	stopWatch func() bool
 	// complete is set once the body was read to its end.
 	complete bool
+	// keepsConnection is set if the server takes another request after the answer.
+	keepsConnection bool
 	// remaining is the number of bytes of the body still to be read, negative if the
 	// length is not known in advance.
 	remaining int64
-	// length is that of the body in bytes, lengthChunked or lengthUntilClose.
+	// length is that of the body in bytes, framer.LengthChunked or framer.LengthUntilClose.
 	length int64
 	// idleTimeout is how long the server keeps an idle connection, 0 if not announced.
 	idleTimeout time.Duration
@@ -108,12 +99,12 @@
 // ends early, so that the server neither takes a part for the whole nor waits for the rest.
 func (e *Exchange) writeStream(request *protocol.Request) error {
 	body := &failureReader{source: request.BodyStream()}
-	length := max(request.Header.ContentLength(), lengthChunked)
+	length := max(request.Header.ContentLength(), framer.LengthChunked)
 	request.Header.SetContentLength(length)
 	err := req.WriteHeader(&request.Header, e.conn.writer)
 	switch {
 	case err != nil:
-	case length == lengthChunked:
+	case length == framer.LengthChunked:
 		err = chunker.Write(e.conn.writer, body)
 	default:
 		err = ext.WriteBodyFixedSize(e.conn.writer, body, int64(length))
@@ -143,16 +134,17 @@
 // readHead reads the head of the answer to the request and skips answers to others.
 func (e *Exchange) readHead(headOnly bool) error {
 	for range maxMismatched {
-		if err := e.readFinalHead(); err != nil {
+		head, err := e.readFinalHead()
+		if err != nil {
 			return err
 		}
 		mismatched, idleTimeout := e.inspect(&e.Response.Header)
 		e.idleTimeout = idleTimeout
-		e.openBody(headOnly)
+		e.openBody(head, headOnly)
 		if !mismatched {
 			return nil
 		}
-		if e.length == lengthUntilClose {
+		if e.length == framer.LengthUntilClose {
 			break
 		}
 		if _, err := io.CopyN(io.Discard, e, maxSkippedBytes); !errors.Is(err, io.EOF) {
@@ -164,64 +156,78 @@
 	return ErrMismatchedAnswer
 }
 
-// readFinalHead reads the next head of a final answer and skips interim ones.
-func (e *Exchange) readFinalHead() error {
+// readFinalHead reads the next head of a final answer and skips interim ones. It does without
+// the HTTP library, which takes lines that are no fields, unfolds others and guesses lengths.
+func (e *Exchange) readFinalHead() (framer.Answer, error) {
 	for range maxInterim {
-		if err := e.checkStatusLine(); err != nil {
-			return err
+		if err := e.skipEmptyLines(); err != nil {
+			return framer.Answer{}, err
 		}
-		if err := resp.ReadHeaders(e.Response, e.conn.reader); err != nil {
-			return fmt.Errorf("reading the answer's head: %w", err)
+		head, err := framer.PeekAnswer(e.conn.reader, maxHeadBytes, e.addField)
+		if err == nil {
+			err = e.conn.reader.Skip(head.HeadBytes)
 		}
-		if e.Response.StatusCode() >= consts.StatusOK {
-			return nil
+		if err != nil {
+			return framer.Answer{}, fmt.Errorf("reading the answer's head: %w", err)
+		}
+		if !head.Interim() {
+			e.Response.SetStatusCode(head.Status)
+			return head, nil
 		}
-		e.Response.Reset()
 	}
-	return ErrTooManyInterim
+	return framer.Answer{}, ErrTooManyInterim
 }
 
-// checkStatusLine checks the beginning of the next head, and skips empty lines before it. The
-// HTTP library takes any protocol, and the status 000 for 200.
-func (e *Exchange) checkStatusLine() error {
-	for range maxEmptyLineBytes {
+// addField adds a field of the answer to Response, but for those that concern its framing.
+func (e *Exchange) addField(name, value []byte) {
+	header := &e.Response.Header
+	utils.NormalizeHeaderKey(name, false)
+	switch string(name) {
+	case consts.HeaderContentLength, consts.HeaderTransferEncoding, consts.HeaderConnection, consts.HeaderTrailer:
+	case consts.HeaderContentType:
+		header.SetContentTypeBytes(value)
+	case consts.HeaderContentEncoding:
+		header.SetContentEncodingBytes(value)
+	case consts.HeaderServer:
+		header.SetServerBytes(value)
+	case consts.HeaderSetCookie:
+		header.ParseSetCookie(value)
+	default:
+		header.AddArgBytes(name, value, protocol.ArgsHasValue)
+	}
+}
+
+// skipEmptyLines skips a few empty lines before an answer.
+func (e *Exchange) skipEmptyLines() error {
+	for range maxEmptyLines {
 		first, err := e.conn.reader.Peek(1)
-		if err != nil || first[0] != '\r' && first[0] != '\n' {
+		if err != nil || first[0] != '\r' {
 			break
 		}
-		if err := e.conn.reader.Skip(1); err != nil {
+		line, err := e.conn.reader.Peek(len(emptyLine))
+		if err != nil || string(line) != emptyLine {
+			break
+		}
+		if err := e.conn.reader.Skip(len(emptyLine)); err != nil {
 			return fmt.Errorf("reading the answer's head: %w", err)
 		}
 	}
-	line, err := e.conn.reader.Peek(statusLineBytes)
-	if err != nil {
-		return fmt.Errorf("reading the answer's head: %w", err)
-	}
-	if !statusLine.Match(line) {
-		return fmt.Errorf("%w: %q", ErrInvalidStatusLine, line)
-	}
 	return nil
 }
 
-func (e *Exchange) openBody(headOnly bool) {
-	if headOnly || e.Response.MustSkipBody() {
-		e.complete = true
-		e.length = 0
-		return
-	}
-	e.length = int64(e.Response.Header.ContentLength())
+func (e *Exchange) openBody(head framer.Answer, headOnly bool) {
+	e.keepsConnection = head.KeepsConnection()
+	e.length = head.BodyLength(headOnly)
 	e.remaining = e.length
 	e.complete = e.length == 0
-	switch e.length {
-	case lengthChunked:
-		e.body = ext.AcquireBodyStream(&bytebufferpool.ByteBuffer{}, e.conn.reader, &protocol.Trailer{}, lengthChunked)
-	default:
-		e.body = e.conn.reader
+	e.body = e.conn.reader
+	if e.length == framer.LengthChunked {
+		e.body = ext.AcquireBodyStream(&bytebufferpool.ByteBuffer{}, e.conn.reader, &protocol.Trailer{}, framer.LengthChunked)
 	}
 }
 
 // Length returns the body's length in bytes, -1 if it is not known in advance.
-func (e *Exchange) Length() int64 { return max(e.length, lengthChunked) }
+func (e *Exchange) Length() int64 { return max(e.length, framer.LengthChunked) }
 
 // Complete reports whether the body was read to its true end.
 func (e *Exchange) Complete() bool { return e.complete }
@@ -240,7 +246,7 @@
 		e.remaining -= int64(n)
 		e.complete = e.remaining == 0
 	} else {
-		e.complete = ended && (e.length != lengthUntilClose || e.requestWhole())
+		e.complete = ended && (e.length != framer.LengthUntilClose || e.requestWhole())
 	}
 	switch {
 	case e.complete:
@@ -311,6 +317,6 @@
 	default:
 		return false
 	}
-	return e.writeErr == nil && e.complete && e.length != lengthUntilClose &&
-		!e.Response.ConnectionClose() && e.conn.reader.Buffered() == 0
+	return e.writeErr == nil && e.complete && e.length != framer.LengthUntilClose &&
+		e.keepsConnection && e.conn.reader.Buffered() == 0
 }
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -36,8 +36,6 @@
 	// ErrMismatchedAnswer means that the server answered other requests instead of the
 	// one that was sent.
 	ErrMismatchedAnswer = eris.New("answer belongs to another request")
-	// ErrInvalidStatusLine means that the server sent bytes that do not begin an answer.
-	ErrInvalidStatusLine = eris.New("invalid status line")
 	// ErrTooManyInterim means that the server sent one interim answer after the other.
 	ErrTooManyInterim = eris.New("too many interim answers")
 )
