framer: read chunks and trailers of answers strictly

Callers saw: a whole answer whose chunked body ended with a trailer that holds lines that are no fields, control bytes, folds or bare line feeds, or with a size followed by a blank; what stood in the trailer could as well be the begin of the next answer. A trailer without a colon was waited for until the deadline.

Cause: the HTTP library's reader of chunks, as lenient as that of heads. It also refused what is sound: any chunk with an extension.

A short answer that breaks them gets 502 or a repeat, one that was passed on in part is cut.

--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,7 @@
 	go test -fuzz FuzzHead -fuzztime 30s ./transport/acceptor
 	go test -fuzz FuzzChunks -fuzztime 30s ./transport/acceptor
 	go test -fuzz FuzzAnswer -fuzztime 30s ./transport/forwarder
+	go test -fuzz FuzzChunks -fuzztime 30s ./transport/framer
 	go test -fuzz FuzzConfiguration -fuzztime 30s ./platform
 	go test -fuzz FuzzHeartbeat -fuzztime 20s ./platform
 	go test -fuzz FuzzRecords -fuzztime 20s ./platform
--- a/proofs/garbled_test.go
+++ b/proofs/garbled_test.go
@@ -180,3 +180,45 @@
 	require.Zero(t, s.reused.Load(), "connections used again after a garbled answer")
 	require.Contains(t, f.log(0), "BreakerOpened", "the server's health")
 }
+
+// longAnswer writes an answer in chunks that is too long to be checked whole, with the number of
+// the garbled end in the path.
+func longAnswer(conn net.Conn, in *bufio.Reader, request *http.Request) bool {
+	var i int
+	if _, err := fmt.Sscanf(request.URL.Path, "/read/long/%d", &i); err != nil {
+		return writeAnswer(conn, in, request)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"+echoed(request)+"\r\n")
+	for sent := 0; sent < longBytes; sent += len(longChunk) {
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(longChunk), longChunk)
+	}
+	_, _ = io.WriteString(conn, longEnds[i])
+	return i == 0
+}
+
+const longBytes = 300_000
+
+var longChunk = strings.Repeat("x", 10_000)
+
+// longEnds are the ends of chunked bodies, first a sound one.
+var longEnds = []string{
+	"0\r\n\r\n", "x\r\n\r\n", "0 \r\n\r\n", "0\n\r\n", "0\r\nno field\r\n\r\n", "0\r\nBlank : x\r\n\r\n", "0\r\n: x\r\n\r\n",
+	"0\r\nNul: \x00\r\n\r\n", "0\r\nReturn: x\ry\r\n\r\n", "0\r\nFolded: x\r\n y\r\n\r\n", "0\r\nSum: x\n\r\n", "0\r\nSum: x\r\n\n",
+	"0\r\nContent-Length: 5\r\n\r\n",
+}
+
+// TestGarbledEndsOfLongAnswersLookCut guards against the last chunk for a body whose own end is
+// garbled, when a part of it was passed on already.
+func TestGarbledEndsOfLongAnswersLookCut(t *testing.T) {
+	f, s := startGarbled(t, 171, longAnswer)
+	for i, end := range longEnds {
+		t.Run(fmt.Sprintf("%q", end), func(t *testing.T) {
+			f.t = t
+			status, body, err := f.exchangeServed("GET", fmt.Sprintf("/read/long/%d", i))
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, i > 0, err != nil, "%d bytes, error %v", len(body), err)
+		})
+	}
+	f.t = t
+	require.Zero(t, s.reused.Load(), "connections used again after a garbled answer")
+}
--- a/standins/garbler/garbler.go
+++ b/standins/garbler/garbler.go
@@ -48,6 +48,7 @@
 		{"UnusualName", status + "{fields}!#$%&'*+-.^_`|~0aZ: x\r\n" + length + "\r\n{body}"},
 		{"Chunks", status + "{fields}" + chunked + "\r\n{chunks}" + lastPart},
 		{"ChunksUpperCase", status + "{fields}transfer-encoding: CHUNKED\r\n\r\n{chunks}" + lastPart},
+		{"ChunkExtension", status + "{fields}" + chunked + "\r\n{hex};a=b; c=\"d\"\r\n{body}\r\n0;e\r\n\r\n"},
 		{"ChunkSizeWithZeros", status + "{fields}" + chunked + "\r\n000{hex}\r\n{body}\r\n000\r\n\r\n"},
 		{"Trailer", status + "{fields}" + chunked + "\r\n{chunks}0\r\nSum: x\r\nOther:\r\n\r\n"},
 		{"Interim", "HTTP/1.1 100 Continue\r\n\r\n" + status + "{fields}" + length + "\r\n{body}"},
@@ -60,7 +61,7 @@
 // Garbled returns answers that no recipient may take for an answer.
 func Garbled() []Answer {
 	var all []Answer
-	for _, group := range [][]Answer{statusLines(), lines(), lengths(), transferEncodings(), interims()} {
+	for _, group := range [][]Answer{statusLines(), lines(), lengths(), transferEncodings(), interims(), chunks(), trailers()} {
 		all = append(all, group...)
 	}
 	return all
@@ -150,3 +151,23 @@
 		"HTTP/1.1 100 Continue\r\n folded", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK",
 		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 099 OK", "HTTP/1.1 100 Continue\r\n\r\ngarbage")
 }
+
+func chunks() []Answer {
+	return append(
+		each("ChunkSize", status+"{fields}"+chunked+"\r\n{}\r\n{body}\r\n"+lastPart,
+			"", "x", "-{hex}", "+{hex}", "0x{hex}", " {hex}", "{hex} ", "{hex}\t", "{hex} 0", "{hex}\r", "{hex}\x00", "{hex},0",
+			"{hex};\x00", "{hex};a\rb", "00000000000000000{hex}", "8000000000000000", "ffffffffffffffff", "1ffffffffffffffff"),
+		Answer{"ChunkSizeEndsWithoutReturn", status + "{fields}" + chunked + "\r\n{hex}\n{body}\r\n" + lastPart},
+		Answer{"ChunkEndsWithoutReturn", status + "{fields}" + chunked + "\r\n{hex}\r\n{body}\n" + lastPart},
+		Answer{"ChunkWithoutEnd", status + "{fields}" + chunked + "\r\n{hex}\r\n{body}" + lastPart},
+		Answer{"ChunkLongerThanItsSize", status + "{fields}" + chunked + "\r\n1\r\n{body}\r\n" + lastPart},
+		Answer{"LastChunkEndsWithoutReturn", status + "{fields}" + chunked + "\r\n{chunks}0\n\r\n"})
+}
+
+func trailers() []Answer {
+	return append(
+		each("Trailer", status+"{fields}"+chunked+"\r\n{chunks}0\r\n{}\r\n\r\n",
+			"no field", ": no name", "Blank : x", "Two Words: x", "Nul\x00: x", "Nul: x\x00", "Return: x\ry", " folded",
+			"Folded: x\r\n y", "Ends: x\nNext: y", "Content-Length: {length}", "Transfer-Encoding: chunked"),
+		Answer{"TrailerEndsWithoutReturn", status + "{fields}" + chunked + "\r\n{chunks}0\r\nSum: x\r\n\n"})
+}
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/bytebufferpool"
 	"github.com/cloudwego/hertz/pkg/common/utils"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
@@ -222,7 +221,7 @@
 	e.complete = e.length == 0
 	e.body = e.conn.reader
 	if e.length == framer.LengthChunked {
-		e.body = ext.AcquireBodyStream(&bytebufferpool.ByteBuffer{}, e.conn.reader, &protocol.Trailer{}, framer.LengthChunked)
+		e.body = framer.NewChunks(e.conn.reader)
 	}
 }
 
