appender: read answers of the log and of processes strictly

Operators and processes saw: an append confirmed, records, a state or a version read from an answer with status 000, two lengths, folded lines or a trailer that is none. bin/foxtailhall status, check and publish printed or adopted what they read so.

Cause: the client of the log and that of AdminAddress were the HTTP library's, the second lenient reader of answers in the product (docs/incidents/reset-answers.md had left it).

Change: both call through transport/requester, which reads with the guard's reader, once and without a repeat of the library's own; an answer is bounded by 1 GiB. The store's client did so already and needed no change. With nothing left to fail in it, appender.New returns no error, nor do runner.New and the run command's build.

--- a/commands/publish.go
+++ b/commands/publish.go
@@ -60,10 +60,7 @@
 	if len(c.Args.Files) == 0 && len(c.Remove) == 0 {
 		return &exitError{code: ExitUsage, err: errNoChange}
 	}
-	log, err := appender.New(c.Log)
-	if err != nil {
-		return fmt.Errorf("publishing: %w", err)
-	}
+	log := appender.New(c.Log)
 	ctx, cancel := context.WithTimeout(context.Background(), c.Patience)
 	defer cancel()
 	head, err := c.readHead(ctx, log)
--- a/commands/run.go
+++ b/commands/run.go
@@ -53,10 +53,7 @@
 		return fmt.Errorf("starting: %w", err)
 	}
 	routeLibraryLogs(log)
-	process, endpoints, err := c.build(settings, log)
-	if err != nil {
-		return fmt.Errorf("starting: %w", err)
-	}
+	process, endpoints := c.build(settings, log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	ctx, fail := context.WithCancelCause(ctx)
@@ -117,7 +114,7 @@
 
 // build returns the process and, on a platform, the endpoints that the platform
 // calls.
-func (c *runCommand) build(settings loader.Settings, log *slog.Logger) (*runner.Runner, *platform.Endpoints, error) {
+func (c *runCommand) build(settings loader.Settings, log *slog.Logger) (*runner.Runner, *platform.Endpoints) {
 	deps := runner.Dependencies{
 		Settings: settings,
 		Log:      log,
@@ -127,11 +124,7 @@
 		Servers:  interpreter.NativeServers(),
 	}
 	if settings.StoreAddress == "" {
-		process, err := runner.New(deps)
-		if err != nil {
-			return nil, nil, fmt.Errorf("building the process: %w", err)
-		}
-		return process, nil, nil
+		return runner.New(deps), nil
 	}
 	calls := requester.New(settings.StoreAddress, idleStoreConnections, storeSilence)
 	source := &platform.Source{Store: platform.NewStore(settings.StoreAddress, calls.Do), Log: log, Pause: platform.Pause}
@@ -150,10 +143,7 @@
 		RecordDeparture: source.RecordDeparture,
 		Departure:       source.Departure,
 	}
-	process, err := runner.New(deps)
-	if err != nil {
-		return nil, nil, fmt.Errorf("building the process: %w", err)
-	}
+	process := runner.New(deps)
 	endpoints := platform.NewEndpoints(settings.AnnounceAddress, settings.ReadyAddress, platform.EndpointDependencies{
 		Log: log,
 		HandleAnnouncement: func(announced platform.ServerAnnouncement) error {
@@ -161,7 +151,7 @@
 		},
 		Ready: process.Ready,
 	})
-	return process, endpoints, nil
+	return process, endpoints
 }
 
 var errEndpoints = eris.New("cannot serve the platform's endpoints")
--- a/commands/status.go
+++ b/commands/status.go
@@ -5,24 +5,27 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
 	"github.com/foxtailhall/foxtailhall/transport/administrator"
+	"github.com/foxtailhall/foxtailhall/transport/requester"
 )
 
-// adminTimeout limits a request to the AdminAddress of a process.
-const adminTimeout = 3 * time.Second
+const (
+	// adminTimeout limits a request to the AdminAddress of a process.
+	adminTimeout = 3 * time.Second
+	// maxAdminBytes bounds an answer from there.
+	maxAdminBytes = 1 << 30
+)
 
 type statusCommand struct {
 	deps  *dependencies
@@ -95,15 +98,14 @@
 
 // getAdmin fetches a path from the AdminAddress of a process.
 func getAdmin(ctx context.Context, address, path string) ([]byte, *protocol.ResponseHeader, error) {
-	httpClient, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(adminTimeout))
-	if err != nil {
-		return nil, nil, fmt.Errorf("creating an HTTP client: %w", err)
-	}
-	request, response := &protocol.Request{}, &protocol.Response{}
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	request := &protocol.Request{}
 	request.SetMethod(consts.MethodGet)
 	request.SetRequestURI("http://" + address + path)
-	request.SetOptions(config.WithRequestTimeout(adminTimeout))
-	if err := httpClient.Do(ctx, request, response); err != nil {
+	calls := requester.NewWithDialer(address, 0, &net.Dialer{Timeout: adminTimeout})
+	response, err := calls.Once(ctx, request, maxAdminBytes)
+	if err != nil {
 		return nil, nil, fmt.Errorf("fetching %s from %s: %w", path, address, err)
 	}
 	if response.StatusCode() != consts.StatusOK {
--- a/transport/appender/appender.go
+++ b/transport/appender/appender.go
@@ -5,15 +5,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"strconv"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/rotisserie/eris"
+
+	"github.com/foxtailhall/foxtailhall/transport/requester"
 )
 
 // Streams of the log.
@@ -28,6 +28,10 @@
 	appendTimeout = 2 * time.Second
 	// readSlack is added to a read's wait for records to get its request timeout.
 	readSlack = 2 * time.Second
+	// maxIdle bounds the idle connections to the log.
+	maxIdle = 8
+	// maxAnswerBytes bounds the answer to a read, with MaxRecords records of any usual size.
+	maxAnswerBytes = 1 << 30
 	// MaxRecords is the maximum number of records that one read returns.
 	MaxRecords = 1000
 )
@@ -63,32 +67,34 @@
 // Appender is a client of the log. It is safe for concurrent use.
 type Appender struct {
 	address string
-	client  *client.Client
+	calls   *requester.Requester
 }
 
 // New returns a client of the log at an IP:port.
-func New(address string) (*Appender, error) {
-	opened, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
-		client.WithDialTimeout(dialTimeout),
-	)
+func New(address string) *Appender {
+	return &Appender{address: address, calls: requester.NewWithDialer(address, maxIdle, &net.Dialer{Timeout: dialTimeout})}
+}
+
+// call sends a request and waits for its answer.
+func (a *Appender) call(ctx context.Context, request *protocol.Request, timeout time.Duration) (*protocol.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := a.calls.Once(ctx, request, maxAnswerBytes)
 	if err != nil {
-		return nil, fmt.Errorf("opening the log's client: %w", err)
+		return nil, fmt.Errorf("calling the log: %w", err)
 	}
-	return &Appender{address: address, client: opened}, nil
+	return answer, nil
 }
 
 // Append adds a record to a stream and returns its offset. An error that is
 // not ErrRefused leaves open whether the record is on the log.
 func (a *Appender) Append(ctx context.Context, stream string, data []byte) (int64, error) {
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(response)
+	request := &protocol.Request{}
 	request.SetMethod(consts.MethodPost)
 	request.SetRequestURI("http://" + a.address + "/streams/" + stream)
 	request.SetBody(data)
-	request.SetOptions(config.WithRequestTimeout(requestTimeout(ctx, appendTimeout)))
-	if err := a.client.Do(ctx, request, response); err != nil {
+	response, err := a.call(ctx, request, appendTimeout)
+	if err != nil {
 		return 0, fmt.Errorf("appending to %s: %w: %w", stream, ErrUnconfirmed, err)
 	}
 	if code := response.StatusCode(); code != consts.StatusOK {
@@ -113,14 +119,12 @@
 // Read returns the records of a stream from an offset on. If there are none, it
 // waits for the next one, up to the given time.
 func (a *Appender) Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(response)
+	request := &protocol.Request{}
 	request.SetMethod(consts.MethodGet)
 	request.SetRequestURI("http://" + a.address + "/streams/" + stream +
 		"?From=" + strconv.FormatInt(from, 10) + "&WaitMs=" + strconv.FormatInt(wait.Milliseconds(), 10))
-	request.SetOptions(config.WithRequestTimeout(requestTimeout(ctx, wait+readSlack)))
-	if err := a.client.Do(ctx, request, response); err != nil {
+	response, err := a.call(ctx, request, wait+readSlack)
+	if err != nil {
 		return Batch{}, fmt.Errorf("reading %s: %w", stream, err)
 	}
 	if code := response.StatusCode(); code != consts.StatusOK {
@@ -132,13 +136,3 @@
 	}
 	return batch, nil
 }
-
-// requestTimeout returns the timeout, limited to the time left until the context's
-// deadline and at least 1 ms.
-func requestTimeout(ctx context.Context, timeout time.Duration) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return timeout
-	}
-	return max(time.Millisecond, min(timeout, time.Until(deadline)))
-}
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -66,7 +66,12 @@
 // SetAddress is called. It keeps up to maxIdle idle connections. A connection fails once
 // it has been silent for silence, whole seconds and at least two.
 func New(maxIdle int, silence time.Duration) *Forwarder {
-	return &Forwarder{maxIdle: maxIdle, dialer: dialer.New(nil, dialTimeout, silence)}
+	return NewWithDialer(maxIdle, dialer.New(nil, dialTimeout, silence))
+}
+
+// NewWithDialer is New for connections that a dialer opens.
+func NewWithDialer(maxIdle int, connections *net.Dialer) *Forwarder {
+	return &Forwarder{maxIdle: maxIdle, dialer: connections}
 }
 
 // SetAddress sets the backend server's IP:port and closes all idle connections, since
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +31,15 @@
 // fails once its connection has been silent for silence, whole seconds and at least two;
 // a peer that only takes its time still acknowledges probes.
 func New(address string, maxIdle int, silence time.Duration) *Requester {
-	client := forwarder.New(maxIdle, silence)
+	return newRequester(address, forwarder.New(maxIdle, silence))
+}
+
+// NewWithDialer is New for connections that a dialer opens.
+func NewWithDialer(address string, maxIdle int, connections *net.Dialer) *Requester {
+	return newRequester(address, forwarder.NewWithDialer(maxIdle, connections))
+}
+
+func newRequester(address string, client *forwarder.Forwarder) *Requester {
 	client.SetAddress(address)
 	return &Requester{forwarder: client}
 }
@@ -86,25 +95,33 @@
 // attempt sends a request once and passes on the outcome, unless the context
 // ends before.
 func (r *Requester) attempt(ctx context.Context, request *protocol.Request, heard *hearing, results chan<- result) {
-	answer, err := r.send(ctx, request, heard)
+	answer, err := r.send(ctx, request, maxBodyBytes, heard)
 	select {
 	case results <- result{answer: answer, err: err}:
 	case <-ctx.Done():
 	}
 }
 
-// send sends a request once.
-func (r *Requester) send(ctx context.Context, request *protocol.Request, heard *hearing) (*protocol.Response, error) {
+// Once sends a request once, and returns the answer with its whole body of up to maxBytes. After
+// an error other than forwarder.ErrNotSent the request may have been handled.
+func (r *Requester) Once(ctx context.Context, request *protocol.Request, maxBytes int64) (*protocol.Response, error) {
+	return r.send(ctx, request, maxBytes, io.Discard)
+}
+
+// send sends a request once. It writes the answer's body to heard as it arrives.
+func (r *Requester) send(
+	ctx context.Context, request *protocol.Request, maxBytes int64, heard io.Writer,
+) (*protocol.Response, error) {
 	exchange, err := r.forwarder.Send(ctx, request, accept, func() {})
 	if err != nil {
 		return nil, fmt.Errorf("calling: %w", err)
 	}
 	defer exchange.Close()
-	body, err := io.ReadAll(io.LimitReader(io.TeeReader(exchange, heard), maxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(io.TeeReader(exchange, heard), maxBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("reading the answer: %w", err)
 	}
-	if len(body) > maxBodyBytes {
+	if int64(len(body)) > maxBytes {
 		return nil, errBodyTooLong
 	}
 	answer := &protocol.Response{}
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -137,15 +137,11 @@
 }
 
 // New builds a process. It serves nothing until Run is called.
-func New(deps Dependencies) (*Runner, error) {
-	log, err := appender.New(deps.Settings.LogAddress)
-	if err != nil {
-		return nil, fmt.Errorf("building the process: %w", err)
-	}
+func New(deps Dependencies) *Runner {
 	r := &Runner{
 		deps:            deps,
 		started:         time.Now(),
-		appender:        log,
+		appender:        appender.New(deps.Settings.LogAddress),
 		serviceTable:    router.NewServiceTable(),
 		refresh:         make(chan struct{}, 1),
 		ejectors:        map[string]*ejector.Ejector{},
@@ -180,7 +176,7 @@
 	r.buildRouter()
 	r.buildAdmin()
 	r.registerGauges()
-	return r, nil
+	return r
 }
 
 // sourceIP returns the IP of an IP:port to use as source of outgoing connections,
