soaker: draw servers that garble their answers

The stand-in of a backend server was too kind: it never sent an answer that isn't HTTP/1.1, nor a part of one without a length before a reset. ServerGarbles is drawn from the seed, apart from the other kinds, so that a seed still draws what it drew. Callers read the head of each answer with transport/framer first (SoundHead), since net/http takes more than HTTP/1.1 allows, and an answer that was garbled must not arrive (GarbledAnswer).

--- a/standins/responder/responder.go
+++ b/standins/responder/responder.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +22,8 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/foxtailhall/foxtailhall/standins/garbler"
 )
 
 const (
@@ -39,6 +42,9 @@
 	// LostAnswerShare is the share of requests that are executed, but whose connection
 	// is closed in place of an answer.
 	LostAnswerShare float64
+	// GarbledShare is the share of requests that are executed, but get a garbled answer or a part
+	// of one before their connection is reset.
+	GarbledShare float64
 	// SlowFactor multiplies the service time if it is above 1.
 	SlowFactor float64
 	// NoHeartbeats stops the heartbeats.
@@ -124,6 +130,9 @@
 		server.WithMaxRequestBodySize(maxBodyBytes),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(0),
+		server.WithOnAccept(func(conn net.Conn) context.Context {
+			return context.WithValue(context.Background(), connKey{}, conn)
+		}),
 	)
 	r.server.NoRoute(r.serve)
 	return r, nil
@@ -252,9 +261,12 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 // serve handles one request. It answers 421 to a request that is meant for another
 // instance, and refuses requests while all slots are taken.
-func (r *Responder) serve(_ context.Context, c *app.RequestContext) {
+func (r *Responder) serve(ctx context.Context, c *app.RequestContext) {
 	id := string(c.GetHeader("Foxtailhall-Request-Id"))
 	c.Response.Header.Set("Foxtailhall-Request-Id", id)
 	if expected := string(c.GetHeader("Foxtailhall-Expect-Instance")); expected != r.options.ID {
@@ -292,9 +304,36 @@
 		_ = c.GetConn().(net.Conn).Close()
 		return
 	}
+	if rand.Float64() < fault.GarbledShare {
+		garble(ctx, id, Body(id, len(c.Request.Body())))
+		return
+	}
 	c.String(consts.StatusOK, Body(id, len(c.Request.Body())))
 }
 
+// HeaderGarbled marks an answer that no client may get.
+const HeaderGarbled = "Garbled"
+
+// resetShare is the share of the answers that are not garbled, but have no length and are reset.
+const resetShare = 0.2
+
+// garble writes an answer that no client may get, and closes the connection.
+func garble(ctx context.Context, id, body string) {
+	conn, ok := ctx.Value(connKey{}).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	fields := HeaderGarbled + ": 1\r\nFoxtailhall-Request-Id: " + id + "\r\nFoxtailhall-Response-Seal: " + Seal(id) + "\r\n"
+	if rand.Float64() >= resetShare {
+		all := garbler.Garbled()
+		_, _ = io.WriteString(conn, all[rand.IntN(len(all))].Render(fields, body))
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+body[:len(body)/2])
+	_ = conn.SetLinger(0)
+}
+
 // work waits for a random service time, but not past the caller's deadline.
 func (r *Responder) work(c *app.RequestContext, fault Fault) {
 	duration := time.Duration(float64(r.options.ServiceTime) * (0.5 + rand.Float64()) * max(1, fault.SlowFactor))
--- a/standins/soaker/callers.go
+++ b/standins/soaker/callers.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/standins/responder"
+	"github.com/foxtailhall/foxtailhall/transport/framer"
+	"github.com/foxtailhall/foxtailhall/transport/reader"
 )
 
 const (
@@ -129,6 +132,10 @@
 	if err != nil {
 		return false
 	}
+	_, err = framer.PeekAnswer(&reader.Reader{Reader: in}, in.Size(), nil)
+	if errors.Is(err, framer.ErrMalformed) || errors.Is(err, framer.ErrHeadTooLong) {
+		f.checker.addViolation("SoundHead", fmt.Sprintf("%s: %v", got.ID, err))
+	}
 	response, err := http.ReadResponse(in, nil)
 	got.Ended = time.Now()
 	if err != nil {
@@ -140,6 +147,7 @@
 	got.Status = response.StatusCode
 	got.BodyRead = err == nil
 	got.SealMatches = response.Header.Get("Foxtailhall-Response-Seal") == responder.Seal(got.ID)
+	got.Garbled = response.Header.Get(responder.HeaderGarbled) != ""
 	got.KeyShown = strings.Contains(fmt.Sprint(response.Header, string(text)), responder.KeyPrefix)
 	got.BodyMatches = string(text) == responder.Body(got.ID, len(body))
 	f.checker.recordAnswer(got)
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -26,6 +26,8 @@
 	BodyMatches bool
 	// BodyRead reports whether the whole body was read without an error.
 	BodyRead bool
+	// Garbled reports whether the answer is one that the server garbled.
+	Garbled bool
 	// KeyShown reports whether the answer contains a customer's key.
 	KeyShown bool
 }
@@ -77,8 +79,8 @@
 	}
 }
 
-// recordAnswer records what a caller received. A complete answer with status 200
-// must carry the seal and the body of the request.
+// recordAnswer records what a caller received. A complete answer must not be garbled, and with
+// status 200 must carry the seal and the body of the request.
 func (c *checker) recordAnswer(got answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,6 +88,9 @@
 	if got.KeyShown {
 		c.addViolationLocked("KeyInAnswer", fmt.Sprintf("%s: the answer contains a key", got.ID))
 	}
+	if got.Garbled && got.BodyRead {
+		c.addViolationLocked("GarbledAnswer", fmt.Sprintf("%s: status %d from a garbled answer", got.ID, got.Status))
+	}
 	if got.Status == 200 && got.BodyRead && (!got.SealMatches || !got.BodyMatches) {
 		c.addViolationLocked("WholeAnswer", fmt.Sprintf("%s: seal matches: %t, body matches: %t",
 			got.ID, got.SealMatches, got.BodyMatches))
--- a/standins/soaker/plan.go
+++ b/standins/soaker/plan.go
@@ -34,6 +34,7 @@
 	KindShed             Kind = "ServerSheds"
 	KindSlow             Kind = "ServerSlow"
 	KindLostAnswers      Kind = "ServerLosesAnswers"
+	KindGarbled          Kind = "ServerGarbles"
 	KindNoHeartbeats     Kind = "ServerMute"
 	KindDrain            Kind = "ServerDrains"
 	KindLeaveAndKill     Kind = "ServerLeavesAndKill"
@@ -42,8 +43,8 @@
 	KindStoreOlder       Kind = "StoreOlder"
 )
 
-// kinds are the kinds that a plan draws from; silences are drawn separately, so that a
-// seed still draws the events that it drew before there were any.
+// kinds are the kinds that a plan draws from; silences and garbled answers are drawn separately,
+// so that a seed still draws the events that it drew before there were any.
 var kinds = []Kind{
 	KindKill, KindPause, KindStop, KindReload, KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLostReplies,
 	KindStoreTruncate, KindStoreRefuse, KindCutOneWay, KindCutBoth, KindReset, KindDelay, KindErrors, KindShed,
@@ -95,6 +96,7 @@
 	var plan Plan
 	if !onlyStoreFaults(seed) {
 		plan = append(drawMixed(seed, activeTime, vms), drawSilences(seed, activeTime, vms)...)
+		plan = append(plan, drawGarbled(seed, activeTime, vms)...)
 	}
 	plan = append(plan, drawLeaves(seed, activeTime, vms)...)
 	plan = append(plan, drawStoreFaults(seed, activeTime)...)
@@ -137,6 +139,22 @@
 	return silences
 }
 
+// garbledPerSecond is the mean rate of the times in which a server garbles answers.
+const garbledPerSecond = 0.2
+
+// drawGarbled draws the times in which a server garbles answers.
+func drawGarbled(seed uint64, activeTime time.Duration, vms int) Plan {
+	random := rand.New(rand.NewPCG(seed+1, ^seed)) //nolint:gosec // plans must repeat
+	count := int(garbledPerSecond * activeTime.Seconds())
+	garbled := make(Plan, 0, count)
+	for range count {
+		at := time.Duration(random.Int64N(int64(activeTime)))
+		length := min(time.Duration(random.Int64N(int64(maxEventLength))), activeTime-at)
+		garbled = append(garbled, Event{At: at, Length: length, Kind: KindGarbled, VM: random.IntN(vms)})
+	}
+	return garbled
+}
+
 const (
 	// storeFaultsPerSecond is the mean rate of further faults of the whole store, and
 	// onlyStoreFaultsPerSecond that of plans without other faults.
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -205,7 +205,7 @@
 		go f.leaveAndKill(ctx, v, event.Length)
 	case KindCutOneWay, KindCutBoth, KindReset, KindSilence, KindDelay:
 		return f.injectLinkFault(event, v)
-	case KindErrors, KindShed, KindSlow, KindLostAnswers, KindNoHeartbeats:
+	case KindErrors, KindShed, KindSlow, KindLostAnswers, KindGarbled, KindNoHeartbeats:
 		return f.injectServerFault(event, v)
 	default:
 		return f.injectStoreFault(event, v)
@@ -249,6 +249,7 @@
 		KindShed:         {ShedShare: 0.6},
 		KindSlow:         {SlowFactor: 8},
 		KindLostAnswers:  {LostAnswerShare: 0.4},
+		KindGarbled:      {GarbledShare: 0.4},
 		KindNoHeartbeats: {NoHeartbeats: true},
 	}[event.Kind]
 	server.SetFault(fault)
--- a/transport/requester/requester_test.go
+++ b/transport/requester/requester_test.go
@@ -1,8 +1,10 @@
 package requester_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/foxtailhall/foxtailhall/coordination/repeater"
+	"github.com/foxtailhall/foxtailhall/standins/garbler"
 	"github.com/foxtailhall/foxtailhall/transport/requester"
 )
 
@@ -61,3 +64,46 @@
 		require.EqualValues(t, 2, requests)
 	})
 }
+
+// TestGarbledAnswersAreErrors guards against the store's state being read from an answer that can
+// be read in two ways.
+func TestGarbledAnswersAreErrors(t *testing.T) {
+	const body = "0123456789abcdef"
+	patience := repeater.Patience{Overdue: time.Second, Period: time.Second, Limit: 5 * time.Second}
+	call := func(t *testing.T, answer garbler.Answer) (*protocol.Response, error) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, answer.Render("Store-Era: 3\r\n", body))
+				}
+				_ = conn.Close()
+			}
+		}()
+		request := &protocol.Request{}
+		request.SetRequestURI("http://" + listener.Addr().String() + "/")
+		return requester.New(listener.Addr().String(), 1, 5*time.Second).Do(context.Background(), request, request, patience)
+	}
+	for _, garbled := range garbler.Garbled() {
+		t.Run(garbled.Name, func(t *testing.T) {
+			t.Parallel()
+			_, err := call(t, garbled)
+			require.Error(t, err)
+		})
+	}
+	for _, sound := range garbler.Sound() {
+		t.Run(sound.Name, func(t *testing.T) {
+			t.Parallel()
+			answer, err := call(t, sound)
+			require.NoError(t, err)
+			require.Equal(t, body, string(answer.Body()))
+			require.Equal(t, "3", string(answer.Header.Peek("Store-Era")))
+		})
+	}
+}
