acceptor: end answers to HTTP/1.0 as HTTP/1.0 does

Callers of HTTP/1.0 saw: for a long answer of unknown length the bytes of the chunks, sizes and all, as the body of a 200; and 100 Continue as the answer where they sent Expect. Had chunks just been left out, a part of an answer would have ended like a whole one: the end of the connection is all that tells such callers the end.

Cause: the length of an answer was chosen without the version of its request.

Evidence: TestAnswersToHTTP10 (real processes) failed on in both of its long answers ("http/1.1 200 ok ... transfer-encoding: chunked"), and ContinueIsNotSentToHTTP10 in transport/acceptor.

Change: such a body is written as it is and ends with the connection. If its source breaks off, the connection is reset, so that its caller gets an error and no end. Expect of HTTP/1.0 is ignored, as RFC 9110 asks.

The other endings hold on already; TestResetAnswersLookCut keeps them: eight ways to end an answer without a length to an upload of 8 MB that is still written (six by a reset), with and without a length, fast and with pauses, for short and long answers.

--- a/transport/acceptor/acceptor_test.go
+++ b/transport/acceptor/acceptor_test.go
@@ -347,6 +347,13 @@
 		require.NoError(t, err)
 		requireAnswer(t, in, http.StatusOK, "to /a")
 	})
+	t.Run("ContinueIsNotSentToHTTP10", func(t *testing.T) {
+		s := startServer(t)
+		conn, in := s.dial()
+		_, err := io.WriteString(conn, "POST /a HTTP/1.0\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\nabc")
+		require.NoError(t, err)
+		requireAnswer(t, in, http.StatusOK, "to /a")
+	})
 }
 
 // requireBody checks the body of a request to /a that a handler receives, and that a
--- a/transport/acceptor/connection.go
+++ b/transport/acceptor/connection.go
@@ -423,10 +423,11 @@
 	if slot.closeAfter {
 		response.Header.SetConnectionClose(true)
 	}
-	if slot.http10 && response.Header.ContentLength() < 0 {
-		slot.closeAfter = true
-	}
 	if response.IsBodyStream() && response.Header.ContentLength() < 0 && !response.MustSkipBody() {
+		if slot.http10 {
+			slot.closeAfter = true
+			return c.writeUntilClose(response)
+		}
 		return c.writeChunked(response)
 	}
 	if err := resp.Write(response, c.out); err != nil {
@@ -446,6 +447,24 @@
 	return errors.Join(err, response.CloseBodyStream())
 }
 
+// writeUntilClose writes an answer of unknown length to a caller that knows no chunks. If the body
+// breaks off, the connection is reset, since its orderly end would be that of the body.
+func (c *connection) writeUntilClose(response *protocol.Response) error {
+	response.Header.SetContentLength(identityLength)
+	response.Header.Del(consts.HeaderTransferEncoding)
+	if err := resp.WriteHeader(&response.Header, c.out); err != nil {
+		return err //nolint:wrapcheck // logged with its context by flush
+	}
+	err := chunker.WritePlain(c.out, response.BodyStream())
+	if tcp, ok := c.raw.(*net.TCPConn); ok && err != nil {
+		_ = tcp.SetLinger(0)
+	}
+	return errors.Join(err, response.CloseBodyStream())
+}
+
+// identityLength is the HTTP library's length of a body that ends with the connection.
+const identityLength = -2
+
 // shutDown closes the connection: gracefully after a last answer, at once after a failed
 // write.
 func (c *connection) shutDown(graceful bool) {
--- a/transport/acceptor/head.go
+++ b/transport/acceptor/head.go
@@ -35,7 +35,10 @@
 	if err := req.ReadHeader(header, in); err != nil {
 		return framing{}, fmt.Errorf("parsing a request head: %w: %w", framer.ErrMalformed, err)
 	}
-	frame := framing{length: max(fields.Length, 0), close: fields.Close || fields.HTTP10, expectContinue: fields.ExpectContinue}
+	frame := framing{
+		length: max(fields.Length, 0), close: fields.Close || fields.HTTP10,
+		expectContinue: fields.ExpectContinue && !fields.HTTP10,
+	}
 	if fields.Chunked {
 		frame.length = framer.LengthChunked
 	}
