router: check answers that other processes pass on

Callers would see: a 200 for status 0 and one of its own making for 100 or 600, a body shorter or longer than the length that its head names, fields with line ends in them.

Cause: the router took the head and the end of an answer from another process as they came.

Change: the router checks status, length and fields of the head, and that the body has the length when it ends. The outcome of such an answer is unknown: 502, or a repeat where the request may repeat; one that was passed on in part is cut.

--- a/transport/framer/answer.go
+++ b/transport/framer/answer.go
@@ -14,15 +14,14 @@
 	statusDigits    = len("200")
 )
 
-// MinStatus and MaxStatus bound the status of an answer.
+// MinStatus and MaxStatus bound the status of an answer, MinFinalStatus that of a final one.
 const (
-	MinStatus = 100
-	MaxStatus = 599
+	MinStatus      = 100
+	MinFinalStatus = 200
+	MaxStatus      = 599
 )
 
 const (
-	// minFinalStatus is the lowest status of a final answer.
-	minFinalStatus   = 200
 	statusSwitching  = 101
 	statusNoContent  = 204
 	statusNotChanged = 304
@@ -122,7 +121,7 @@
 }
 
 // Interim reports whether the final answer is still to come.
-func (a Answer) Interim() bool { return a.Status < minFinalStatus }
+func (a Answer) Interim() bool { return a.Status < MinFinalStatus }
 
 // KeepsConnection reports whether the sender takes another request on the connection.
 func (a Answer) KeepsConnection() bool {
--- a/transport/framer/fields.go
+++ b/transport/framer/fields.go
@@ -172,6 +172,21 @@
 	return len(line)
 }
 
+// IsField reports whether a name and a value can stand in a head.
+func IsField(name, value string) bool {
+	for i := range len(name) {
+		if classes[name[i]]&token == 0 {
+			return false
+		}
+	}
+	for i := range len(value) {
+		if classes[value[i]]&text == 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // isFieldValue reports whether a text can be the value of a field: it has no control bytes.
 func isFieldValue(value []byte) bool {
 	for ; len(value) >= wordBytes; value = value[wordBytes:] {
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -43,9 +43,11 @@
 	// bodyPrefix holds the first bytes of the body, or all of it if bodyComplete is set.
 	bodyPrefix   []byte
 	bodyComplete bool
-	stream       messenger.DRPCGuard_ForwardClient
-	cancel       context.CancelFunc
-	latency      time.Duration
+	// body counts the bytes of the body that have arrived.
+	body    bodyCounter
+	stream  messenger.DRPCGuard_ForwardClient
+	cancel  context.CancelFunc
+	latency time.Duration
 	// expected is the service time that the request is expected to need at the server, 0
 	// if its service is not balanced by work.
 	expected time.Duration
@@ -181,15 +183,19 @@
 			r.reason = "Receive"
 			return
 		}
+		if verdict := frame.GetVerdict(); verdict != nil {
+			r.applyVerdict(verdict)
+			return
+		}
+		if !r.body.add(frame.GetData()) || frame.GetEnd() && !r.body.whole() {
+			r.kind, r.reason = resultUnknown, reasonMalformedAnswer
+			return
+		}
 		if frame.GetEnd() {
 			r.bodyComplete = true
 			r.kind = resultAnswered
 			return
 		}
-		if verdict := frame.GetVerdict(); verdict != nil {
-			r.applyVerdict(verdict)
-			return
-		}
 		r.bodyPrefix = append(r.bodyPrefix, frame.GetData()...)
 		if len(r.bodyPrefix) >= bodyPrefixBytes || r.head.Length > bodyPrefixBytes {
 			r.kind = resultAnswered
@@ -198,5 +204,8 @@
 	}
 }
 
+// reasonMalformedAnswer is that of an answer that its process should not have passed on.
+const reasonMalformedAnswer = "MalformedAnswer"
+
 // bodyPrefixBytes is how much of an answer is buffered before the caller gets any of it.
 const bodyPrefixBytes = 64 << 10
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -77,6 +77,12 @@
 // readAnswer reads the first bytes of an answer. A request whose answer there is no memory
 // for has run, or may have.
 func (r *Router) readAnswer(request *callerRequest, outcome *result) {
+	if err := checkAnswerHead(outcome.head); err != nil {
+		r.deps.Log.Info("AnswerRefused", "Request", request.id, "Server", outcome.entry.Member.Address, "Error", err)
+		outcome.kind, outcome.reason = resultUnknown, reasonMalformedAnswer
+		return
+	}
+	outcome.body.length = outcome.head.Length
 	if request.reserveAnswer != nil && !request.reserveAnswer(answerBytes(outcome.head.Length)) {
 		outcome.kind, outcome.reason = resultUnknown, "NoMemoryForAnswer"
 		return
--- a/transport/router/respond.go
+++ b/transport/router/respond.go
@@ -179,6 +179,10 @@
 			b.finish(false)
 			return 0, errTruncated
 		}
+		if !b.answer.body.add(frame.GetData()) || frame.GetEnd() && !b.answer.body.whole() {
+			b.finish(false)
+			return 0, fmt.Errorf("reading the answer: %w: %w", errTruncated, errMalformedAnswer)
+		}
 		b.unread = frame.GetData()
 		b.bodyComplete = frame.GetEnd()
 	}
