interpreter: take no answer that names two requests

Callers saw: a success for an answer with the IDs of two requests, or with two seals; of each the first one counted. A refusal with two IDs was believed to be this request's ("not run").

Cause: the marks of an answer were read as if each could stand only once.

Evidence: TestAnswersWithTwoMarksAreUnproven fails on ("IDEchoed: true" where an answer with two IDs must be unproven).

Equal ones say one thing and are taken as before.

--- a/protocol/interpreter/interpreter.go
+++ b/protocol/interpreter/interpreter.go
@@ -4,6 +4,7 @@
 package interpreter
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -95,3 +96,17 @@
 	// Inspect reads the headers of an answer to the request with the given info.
 	Inspect func(header *protocol.ResponseHeader, info RequestInfo) AnswerInfo
 }
+
+// Single returns the value of a header, "" without it, and whether there is no other value of it.
+func Single(header *protocol.ResponseHeader, name string) (value string, ok bool) {
+	values := header.PeekAll(name)
+	if len(values) == 0 {
+		return "", true
+	}
+	for _, other := range values[1:] {
+		if !bytes.Equal(other, values[0]) {
+			return string(values[0]), false
+		}
+	}
+	return string(values[0]), true
+}
--- a/protocol/interpreter/native.go
+++ b/protocol/interpreter/native.go
@@ -89,9 +89,10 @@
 }
 
 func inspectNative(header *protocol.ResponseHeader, info RequestInfo) AnswerInfo {
-	echoed := string(header.Peek(answerer.HeaderRequestID))
+	echoed, ok := Single(header, answerer.HeaderRequestID)
 	return AnswerInfo{
-		IDEchoed:   echoed == info.ID,
-		IDMismatch: echoed != "" && echoed != info.ID,
+		IDEchoed:   ok && echoed == info.ID,
+		IDMismatch: ok && echoed != "" && echoed != info.ID,
+		Unproven:   !ok,
 	}
 }
