standins: read the answers of processes strictly

The load generator and the stand-ins of backend servers were too kind: they read answers with the HTTP library's client, which takes two lengths, folded lines and status 000 for sound answers and sends a request again by itself. A process that garbled an answer would have passed our own proofs.

They call through transport/requester now, once and with its strict reader. Load bodies are streamed, so that an early answer is read. What only the library's client could fail in returns no error any more (responder.New, caller.New, worker.NewAnnouncer).

--- a/proofs/departures_test.go
+++ b/proofs/departures_test.go
@@ -54,11 +54,10 @@
 func startLeavingFleet(t *testing.T, network int) *leavingFleet {
 	t.Helper()
 	f := newLeavingFleet(t, network)
-	server, err := responder.New(f.address(1, 9000), responder.Options{
+	server := responder.New(f.address(1, 9000), responder.Options{
 		ID: leavingServer, Service: "writing", Slots: 4, ServiceTime: time.Millisecond, AnnounceAddress: f.address(1, 8004),
 		OnRun: func(responder.Run) { f.runs.Add(1) },
 	})
-	require.NoError(t, err)
 	f.server = server
 	f.server.SetFault(responder.Fault{NoHeartbeats: true})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/standins/caller/caller.go
+++ b/standins/caller/caller.go
@@ -3,25 +3,25 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/foxtailhall/foxtailhall/protocol/answerer"
 	"github.com/foxtailhall/foxtailhall/standins/worker"
+	"github.com/foxtailhall/foxtailhall/transport/requester"
 )
 
 // Kind is the type of an operation.
@@ -115,7 +115,12 @@
 const (
 	// timeoutSlack is how long a caller waits past its timeout, to distinguish a late response from a
 	// lost one.
-	timeoutSlack      = 500 * time.Millisecond
+	timeoutSlack = 500 * time.Millisecond
+	// dialTimeout limits the wait for a new connection, and maxIdle the idle ones to a target.
+	dialTimeout = time.Second
+	maxIdle     = 10000
+	// maxAnswerBytes bounds the answers that are not long.
+	maxAnswerBytes    = 1 << 20
 	maxLatencyUs      = 10 * 60 * 1000 * 1000
 	significantDigits = 3
 )
@@ -123,7 +128,8 @@
 // Caller generates load.
 type Caller struct {
 	options Options
-	client  *client.Client
+	// targets holds a client for each of the options' targets.
+	targets []*requester.Requester
 
 	mu      sync.Mutex
 	summary Summary
@@ -131,24 +137,18 @@
 }
 
 // New returns a load generator that has not started.
-func New(options Options) (*Caller, error) {
-	httpClient, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
-		client.WithDialTimeout(time.Second),
-		client.WithMaxConnsPerHost(10000),
-		client.WithMaxIdleConnDuration(time.Minute),
-	)
-	if err != nil {
-		return nil, fmt.Errorf("opening the callers' client: %w", err)
-	}
-	c := &Caller{options: options, client: httpClient, summary: Summary{
+func New(options Options) *Caller {
+	c := &Caller{options: options, summary: Summary{
 		Results:   map[Result]int{},
 		Latencies: hdrhistogram.New(1, maxLatencyUs, significantDigits),
 	}}
+	for _, target := range options.Targets {
+		c.targets = append(c.targets, requester.NewWithDialer(target, maxIdle, &net.Dialer{Timeout: dialTimeout}))
+	}
 	if options.Out != nil {
 		c.encoder = json.NewEncoder(options.Out)
 	}
-	return c, nil
+	return c
 }
 
 // Run starts operations at the configured rate, without waiting for earlier ones, and returns when the
@@ -240,8 +240,17 @@
 	}
 }
 
-func (c *Caller) randomTarget() string {
-	return c.options.Targets[rand.IntN(len(c.options.Targets))]
+// call sends a request to a random target and waits for the whole answer.
+func (c *Caller) call(request *protocol.Request, target string, timeout time.Duration) (*protocol.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	i := rand.IntN(len(c.targets))
+	request.SetRequestURI("http://" + c.options.Targets[i] + target)
+	response, err := c.targets[i].Once(ctx, request, int64(maxAnswerBytes+c.options.LongBytes))
+	if err != nil {
+		return nil, fmt.Errorf("calling %s: %w", c.options.Targets[i], err)
+	}
+	return response, nil
 }
 
 // randomCustomer returns the name of a customer, empty if there are none.
@@ -264,12 +273,11 @@
 }
 
 func (c *Caller) fetchBoundKey(op Operation) string {
-	request, response := &protocol.Request{}, &protocol.Response{}
+	request := &protocol.Request{}
 	request.SetMethod(consts.MethodGet)
-	request.SetRequestURI("http://" + c.randomTarget() + answerer.PathKey + "?Path=" + c.options.Paths[op.Kind])
 	c.setCustomerKey(request, op)
-	request.SetOptions(config.WithRequestTimeout(c.options.Timeout))
-	if err := c.client.Do(context.Background(), request, response); err != nil || response.StatusCode() != consts.StatusOK {
+	response, err := c.call(request, answerer.PathKey+"?Path="+c.options.Paths[op.Kind], c.options.Timeout)
+	if err != nil || response.StatusCode() != consts.StatusOK {
 		return ""
 	}
 	return string(response.Body())
@@ -277,13 +285,11 @@
 
 // sendRequest sends one request and classifies its response.
 func (c *Caller) sendRequest(op Operation, boundKey string) Result {
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(response)
+	request := &protocol.Request{}
 	body := c.buildRequest(request, op, boundKey)
-	request.SetOptions(config.WithRequestTimeout(c.options.Timeout + timeoutSlack))
 	began := time.Now()
-	if err := c.client.Do(context.Background(), request, response); err != nil {
+	response, err := c.call(request, c.options.Paths[op.Kind]+"/"+op.Key, c.options.Timeout+timeoutSlack)
+	if err != nil {
 		return ResultLost
 	}
 	result := c.checkResponse(op, response, body)
@@ -296,7 +302,6 @@
 // buildRequest fills in a request and returns its body.
 func (c *Caller) buildRequest(request *protocol.Request, op Operation, boundKey string) []byte {
 	request.SetMethod(consts.MethodPost)
-	request.SetRequestURI("http://" + c.randomTarget() + c.options.Paths[op.Kind] + "/" + op.Key)
 	request.Header.Set(answerer.HeaderDeadline, strconv.FormatInt(c.options.Timeout.Milliseconds(), 10))
 	request.Header.Set(worker.HeaderKey, op.Key)
 	c.setCustomerKey(request, op)
@@ -318,7 +323,9 @@
 		body = []byte(op.Key)
 		request.Header.Set(answerer.HeaderKey, boundKey)
 	}
-	request.SetBody(body)
+	if len(body) > 0 {
+		request.SetBodyStream(bytes.NewReader(body), len(body))
+	}
 	return body
 }
 
--- a/standins/main.go
+++ b/standins/main.go
@@ -67,14 +67,11 @@
 	if c.Admin == "" {
 		return <-serveErr
 	}
-	announcer, err := worker.NewAnnouncer(c.Admin, guard.Announcement{
+	announcer := worker.NewAnnouncer(c.Admin, guard.Announcement{
 		BackendServer: c.BackendServer,
 		Address:       c.Address,
 		Run:           strconv.FormatInt(time.Now().UnixNano(), 16),
 	})
-	if err != nil {
-		return err
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go announcer.Run(ctx)
@@ -161,11 +158,7 @@
 		defer func() { _ = out.Close() }()
 		options.Out = out
 	}
-	generator, err := caller.New(options)
-	if err != nil {
-		return err
-	}
-	summary := generator.Run(context.Background())
+	summary := caller.New(options).Run(context.Background())
 	fmt.Printf("Sent=%d Whole=%d Late=%d Wrong=%d Failed=%d NotRun=%d Unknown=%d Ran=%d Lost=%d P50Ms=%.2f P99Ms=%.2f\n",
 		summary.Sent, summary.Results[caller.ResultWhole], summary.Results[caller.ResultLate],
 		summary.Results[caller.ResultWrong], summary.Results[caller.ResultFailed], summary.Results[caller.ResultNotRun],
--- a/standins/responder/responder.go
+++ b/standins/responder/responder.go
@@ -17,13 +17,13 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/foxtailhall/foxtailhall/standins/garbler"
+	"github.com/foxtailhall/foxtailhall/transport/requester"
 )
 
 const (
@@ -32,6 +32,8 @@
 	// maxHeartbeatDelay bounds the delay of late heartbeats.
 	maxHeartbeatDelay = 3 * time.Second
 	maxBodyBytes      = 64 << 20
+	// maxAcknowledgementBytes bounds the answer to a heartbeat.
+	maxAcknowledgementBytes = 4 << 10
 )
 
 // Fault describes how a server fails. The zero value injects no fault.
@@ -100,9 +102,10 @@
 	address string
 	options Options
 	server  *server.Hertz
-	client  *client.Client
-	started time.Time
-	slots   chan struct{}
+	// heartbeats calls the process on the server's VM.
+	heartbeats *requester.Requester
+	started    time.Time
+	slots      chan struct{}
 
 	mu       sync.Mutex
 	fault    Fault
@@ -116,13 +119,10 @@
 }
 
 // New returns a server that listens on an IP:port once it is started.
-func New(address string, options Options) (*Responder, error) {
-	heartbeatClient, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(heartbeatTimeout))
-	if err != nil {
-		return nil, fmt.Errorf("creating the heartbeat client: %w", err)
-	}
+func New(address string, options Options) *Responder {
 	r := &Responder{
-		address: address, options: options, client: heartbeatClient, started: time.Now(), slots: make(chan struct{}, options.Slots),
+		address: address, options: options, started: time.Now(), slots: make(chan struct{}, options.Slots),
+		heartbeats: requester.NewWithDialer(options.AnnounceAddress, 1, &net.Dialer{Timeout: heartbeatTimeout}),
 	}
 	r.server = server.New(
 		server.WithHostPorts(address),
@@ -135,7 +135,7 @@
 		}),
 	)
 	r.server.NoRoute(r.serve)
-	return r, nil
+	return r
 }
 
 // ID returns the instance ID of the server.
@@ -246,11 +246,13 @@
 
 // announce makes one call to the proxy process and records the acknowledgement of a leave.
 func (r *Responder) announce(method string, body []byte, leaving bool) {
-	request, response := &protocol.Request{}, &protocol.Response{}
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	request := &protocol.Request{}
 	request.SetMethod(method)
 	request.SetRequestURI("http://" + r.options.AnnounceAddress + "/instances/" + r.options.ID)
 	request.SetBody(body)
-	err := r.client.DoTimeout(context.Background(), request, response, heartbeatTimeout)
+	response, err := r.heartbeats.Once(ctx, request, maxAcknowledgementBytes)
 	if err != nil || response.StatusCode() != consts.StatusOK || !leaving {
 		return
 	}
--- a/standins/soaker/fleet.go
+++ b/standins/soaker/fleet.go
@@ -160,9 +160,7 @@
 		if err := f.writeSettings(v); err != nil {
 			return err
 		}
-		if err := f.startServer(ctx, v); err != nil {
-			return err
-		}
+		f.startServer(ctx, v)
 		f.supervisors.Add(1)
 		go func() {
 			defer f.supervisors.Done()
@@ -263,22 +261,18 @@
 }
 
 // startServer starts a backend server with a new instance ID on the VM.
-func (f *fleet) startServer(ctx context.Context, v *vm) error {
+func (f *fleet) startServer(ctx context.Context, v *vm) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.serverRuns++
-	server, err := responder.New(fmt.Sprintf("%s:%d", v.ip, serverPort), responder.Options{
+	server := responder.New(fmt.Sprintf("%s:%d", v.ip, serverPort), responder.Options{
 		ID: fmt.Sprintf("i-%d-%d", v.index, v.serverRuns), Service: v.service(), Zone: v.zone, Slots: serverSlots,
 		ServiceTime: meanServiceTime, LateShare: lateShare,
 		AnnounceAddress: fmt.Sprintf("%s:%d", v.ip, announcePort), OnRun: f.checker.recordRun,
 		Call: func(request string) { f.call(v, request) },
 	})
-	if err != nil {
-		return fmt.Errorf("starting a backend server: %w", err)
-	}
 	v.server = server
 	server.Start(ctx)
-	return nil
 }
 
 // replaceServer drains the VM's backend server, closes it, and starts another at
@@ -329,9 +323,7 @@
 	f.drained = append(f.drained, old)
 	f.mu.Unlock()
 	old.Close()
-	if err := f.startServer(ctx, v); err != nil {
-		f.checker.addViolation("Server", err.Error())
-	}
+	f.startServer(ctx, v)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.replacing = false
--- a/standins/worker/announcer.go
+++ b/standins/worker/announcer.go
@@ -8,37 +8,36 @@
 	"net"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/foxtailhall/foxtailhall/transport/administrator"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 	"github.com/foxtailhall/foxtailhall/transport/peeker"
+	"github.com/foxtailhall/foxtailhall/transport/requester"
 )
 
 const (
 	announceInterval = 500 * time.Millisecond
 	announceTimeout  = time.Second
 	leaveTimeout     = 15 * time.Minute
+	// maxAcknowledgementBytes bounds the answer to an announcement.
+	maxAcknowledgementBytes = 64 << 10
 )
 
 // Announcer registers a stand-in server with the guard on its VM.
 type Announcer struct {
 	adminAddress string
 	announcement guard.Announcement
-	client       *client.Client
+	calls        *requester.Requester
 }
 
 // NewAnnouncer returns an announcer that posts to a process's AdminAddress.
-func NewAnnouncer(adminAddress string, announcement guard.Announcement) (*Announcer, error) {
-	httpClient, err := client.NewClient(client.WithDialer(standard.NewDialer()))
-	if err != nil {
-		return nil, fmt.Errorf("opening the announcer's client: %w", err)
+func NewAnnouncer(adminAddress string, announcement guard.Announcement) *Announcer {
+	return &Announcer{
+		adminAddress: adminAddress, announcement: announcement,
+		calls: requester.NewWithDialer(adminAddress, 1, &net.Dialer{Timeout: announceTimeout}),
 	}
-	return &Announcer{adminAddress: adminAddress, announcement: announcement, client: httpClient}, nil
 }
 
 // Run announces the server every announceInterval until the context is canceled. Failed
@@ -70,12 +69,14 @@
 }
 
 func (a *Announcer) post(path string, data []byte, timeout time.Duration) (int, error) {
-	request, response := &protocol.Request{}, &protocol.Response{}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request := &protocol.Request{}
 	request.SetMethod(consts.MethodPost)
 	request.SetRequestURI("http://" + a.adminAddress + path)
 	request.SetBodyStream(bytes.NewReader(data), len(data))
-	request.SetOptions(config.WithRequestTimeout(timeout))
-	if err := a.client.Do(context.Background(), request, response); err != nil {
+	response, err := a.calls.Once(ctx, request, maxAcknowledgementBytes)
+	if err != nil {
 		return 0, fmt.Errorf("posting to %s: %w", path, err)
 	}
 	return response.StatusCode(), nil
