--- a/commands/garbled_test.go
+++ b/commands/garbled_test.go
@@ -1,8 +1,6 @@
 package commands_test
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -26,18 +24,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, answer.Render(versionFields, body))
-			}
-			_ = conn.Close()
-		}
-	}()
+	go garbler.Serve(listener, func(*http.Request) string { return answer.Render(versionFields, body) })
 	return listener.Addr().String()
 }
 
--- a/standins/caller/caller_test.go
+++ b/standins/caller/caller_test.go
@@ -1,11 +1,9 @@
 package caller_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"net"
 	"net/http"
 	"path"
@@ -24,19 +22,10 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				body := fmt.Sprintf(`{"Key": %q, "Bytes": 0, "Sum": %d}`, path.Base(request.URL.Path), fnv.New64a().Sum64())
-				_, _ = io.WriteString(conn, answer.Render("", body))
-			}
-			_ = conn.Close()
-		}
-	}()
+	go garbler.Serve(listener, func(request *http.Request) string {
+		sum := fnv.New64a().Sum64()
+		return answer.Render("", fmt.Sprintf(`{"Key": %q, "Bytes": 0, "Sum": %d}`, path.Base(request.URL.Path), sum))
+	})
 	return caller.New(caller.Options{
 		Targets: []string{listener.Addr().String()}, Rate: 100, Duration: 30 * time.Millisecond, Timeout: 5 * time.Second,
 		Paths: map[caller.Kind]string{caller.KindRead: "/sheets"},
--- a/standins/garbler/garbler.go
+++ b/standins/garbler/garbler.go
@@ -3,7 +3,11 @@
 package garbler
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strconv"
 	"strings"
 )
@@ -171,3 +175,23 @@
 			"Folded: x\r\n y", "Ends: x\nNext: y", "Content-Length: {length}", "Transfer-Encoding: chunked"),
 		Answer{"TrailerEndsWithoutReturn", status + "{fields}" + chunked + "\r\n{chunks}0\r\nSum: x\r\n\n"})
 }
+
+// Serve answers one request on each connection with the bytes that answer returns for it, and
+// closes the connection. It returns once the listener is closed.
+func Serve(listener net.Listener, answer func(request *http.Request) string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, answer(request))
+		}()
+	}
+}
--- a/transport/appender/appender_test.go
+++ b/transport/appender/appender_test.go
@@ -1,10 +1,8 @@
 package appender_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -23,23 +21,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, answer.Render("", body))
-			}()
-		}
-	}()
+	go garbler.Serve(listener, func(*http.Request) string { return answer.Render("", body) })
 	return appender.New(listener.Addr().String())
 }
 
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -155,8 +155,8 @@
 	return ErrMismatchedAnswer
 }
 
-// readFinalHead reads the next head of a final answer and skips interim ones. It does without
-// the HTTP library, which takes lines that are no fields, unfolds others and guesses lengths.
+// readFinalHead reads the next head of a final answer and skips interim ones. The HTTP library's
+// parser is too lenient for that: it accepts invalid lines, unfolds others and guesses lengths.
 func (e *Exchange) readFinalHead() (framer.Answer, error) {
 	for range maxInterim {
 		if err := e.skipEmptyLines(); err != nil {
@@ -177,7 +177,7 @@
 	return framer.Answer{}, ErrTooManyInterim
 }
 
-// addField adds a field of the answer to Response, but for those that concern its framing.
+// addField adds a field of the answer to Response, except those that concern its framing.
 func (e *Exchange) addField(name, value []byte) {
 	header := &e.Response.Header
 	utils.NormalizeHeaderKey(name, false)
--- a/transport/framer/answer.go
+++ b/transport/framer/answer.go
@@ -22,9 +22,9 @@
 )
 
 const (
-	statusSwitching  = 101
-	statusNoContent  = 204
-	statusNotChanged = 304
+	statusSwitching   = 101
+	statusNoContent   = 204
+	statusNotModified = 304
 )
 
 // Answer is the head of an answer.
@@ -78,7 +78,7 @@
 	return nil
 }
 
-// parseStatusLine reads a line such as "HTTP/1.1 200 OK". Its last blank and reason may lack.
+// parseStatusLine reads a line such as "HTTP/1.1 200 OK". The reason phrase may be missing.
 func parseStatusLine(line []byte) (status int, http10 bool, err error) {
 	beforeStatus, ok := bytes.CutPrefix(line, protocol)
 	if !ok || len(line) < statusLineBytes || len(line) > statusLineBytes && line[statusLineBytes] != ' ' {
@@ -132,7 +132,7 @@
 // headOnly is set for the answer to a HEAD request.
 func (a Answer) BodyLength(headOnly bool) int64 {
 	switch {
-	case headOnly || a.Interim() || a.Status == statusNoContent || a.Status == statusNotChanged:
+	case headOnly || a.Interim() || a.Status == statusNoContent || a.Status == statusNotModified:
 		return 0
 	case a.Fields.Chunked:
 		return LengthChunked
--- a/transport/framer/chunks.go
+++ b/transport/framer/chunks.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// beginChunk reads the size of a chunk. Its extensions mean nothing to us.
+// beginChunk reads the size of a chunk. Extensions are ignored.
 func (c *Chunks) beginChunk(line []byte) error {
 	digits, extensions, _ := bytes.Cut(line, semicolon)
 	size, ok := parseSize(digits)
--- a/transport/framer/framer.go
+++ b/transport/framer/framer.go
@@ -21,7 +21,7 @@
 	ErrHeadTooLong = eris.New("message head is too long")
 )
 
-// Lengths of bodies that a head does not tell in bytes.
+// Lengths of bodies whose head gives no length in bytes.
 const (
 	// LengthChunked is that of a body in chunks.
 	LengthChunked = -1
--- a/transport/requester/requester_test.go
+++ b/transport/requester/requester_test.go
@@ -1,7 +1,6 @@
 package requester_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -74,18 +73,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, answer.Render("Store-Era: 3\r\n", body))
-				}
-				_ = conn.Close()
-			}
-		}()
+		go garbler.Serve(listener, func(*http.Request) string { return answer.Render("Store-Era: 3\r\n", body) })
 		request := &protocol.Request{}
 		request.SetRequestURI("http://" + listener.Addr().String() + "/")
 		return requester.New(listener.Addr().String(), 1, 5*time.Second).Do(context.Background(), request, request, patience)
