garbler: keep connections open that no answer has closed

Cause: the test's server closed each connection behind an answer that does not say so; a caller that had kept it sent its next request before it saw the close, and counted that as lost, rightly.

The server answers on until its client closes. What the tests require is the same.

--- a/standins/garbler/garbler.go
+++ b/standins/garbler/garbler.go
@@ -176,22 +176,29 @@
 		Answer{"TrailerEndsWithoutReturn", status + "{fields}" + chunked + "\r\n{chunks}0\r\nSum: x\r\n\n"})
 }
 
-// Serve answers one request on each connection with the bytes that answer returns for it, and
-// closes the connection. It returns once the listener is closed.
+// Serve answers the requests of each connection with the bytes that answer returns for them,
+// until the client closes it. It returns once the listener is closed.
 func Serve(listener net.Listener, answer func(request *http.Request) string) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go func() {
-			defer func() { _ = conn.Close() }()
-			request, err := http.ReadRequest(bufio.NewReader(conn))
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, request.Body)
-			_, _ = io.WriteString(conn, answer(request))
-		}()
+		go serveConnection(conn, answer)
+	}
+}
+
+func serveConnection(conn net.Conn, answer func(request *http.Request) string) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.WriteString(conn, answer(request)); err != nil {
+			return
+		}
 	}
 }
