runner, guard: log what becomes of a leave that an answer says

The log of a leave in an answer did not name the start of the run, nor whether the word was dropped, nor whether anything was given to the store. A word about another run than the latest one left no line at all. LeavingAnswer now has StartedMs, the verdict and the latest run, DepartureToKeep tells what is to be written, and Announced has StartedMs.

--- a/transport/guard/announcement.go
+++ b/transport/guard/announcement.go
@@ -102,7 +102,8 @@
 		return false, fmt.Errorf("starting a new run: %w", err)
 	}
 	g.deps.Log.Info("Announced", "BackendServer", server.Name, "Service", server.Service, "Run", announcement.Run,
-		"Address", announcement.Address, "Slots", server.Slots, "ColdStart", server.ColdStart)
+		"StartedMs", announcement.StartedMs, "Address", announcement.Address, "Slots", server.Slots,
+		"ColdStart", server.ColdStart)
 	return true, nil
 }
 
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -195,11 +195,15 @@
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
 	next, verdict := r.enroller.WithLeavingAnswer(run, startedMs, r.now())
+	latest := r.enroller.Latest()
 	r.enroller = next
+	if verdict == enroller.VerdictRetired || run != latest.ID || startedMs != latest.StartedMs {
+		r.deps.Log.Info("LeavingAnswer", "Run", run, "StartedMs", startedMs, "Verdict", verdict.String(),
+			"Latest", latest.ID, "LatestStartedMs", latest.StartedMs)
+	}
 	if verdict != enroller.VerdictRetired {
 		return
 	}
-	r.deps.Log.Info("LeavingAnswer", "Run", run)
 	if err := r.guard.Retire(run); err != nil {
 		r.deps.Log.Error("RetireFailed", "Run", run, "Error", err)
 	}
--- a/transport/runner/departures.go
+++ b/transport/runner/departures.go
@@ -65,6 +65,7 @@
 	}
 	d.mu.Lock()
 	if departure != d.wanted {
+		d.log.Info("DepartureToKeep", "Server", departure.ID, "StartedMs", departure.StartedMs, "LeftMs", departure.LeftMs)
 		d.wanted = departure
 		d.keeper = d.keeper.WithValue()
 	}
