runner: keep a leave that an answer says, like an announced one

Cause: a leave took one of two ways. An announced one was given to the store and told to peers; one heard in an answer only retired the run in the guard. The process was killed 0.1 s later, its successor read from the store that no run had left and put the server into service on a late announcement.

Ruled out: the order of announcements (without the kill the late one is Stale), an old roster at the routers (the guard itself had the run in service), the successor's wait (it had been answered by the store).

Change: applyLeave is the one way for announcements, answers and recalled departures: enroller, store, guard, own roster entry. The peers of an announced leave are told while the store writes, and also if it does not answer.

Store stand-ins can leave out the era: with one, the successor held announcements and the fault did not show.

--- a/standins/responder/responder.go
+++ b/standins/responder/responder.go
@@ -51,6 +51,10 @@
 	SlowFactor float64
 	// NoHeartbeats stops the heartbeats.
 	NoHeartbeats bool
+	// SaysLeaving makes the server say in all answers that it leaves, and Limit, if it is not
+	// empty, how many requests a second it takes.
+	SaysLeaving bool
+	Limit       string
 }
 
 // Options configure a server.
@@ -277,6 +281,13 @@
 		return
 	}
 	fault := r.currentFault()
+	c.Response.Header.Set(HeaderAnsweredBy, r.options.ID)
+	if fault.SaysLeaving {
+		c.Response.Header.Set(HeaderLeaving, "1")
+	}
+	if fault.Limit != "" {
+		c.Response.Header.Set("Server-Limit", fault.Limit)
+	}
 	select {
 	case r.slots <- struct{}{}:
 		defer func() { <-r.slots }()
@@ -313,8 +324,14 @@
 	c.String(consts.StatusOK, Body(id, len(c.Request.Body())))
 }
 
-// HeaderGarbled marks an answer that no client may get.
-const HeaderGarbled = "Garbled"
+const (
+	// HeaderGarbled marks an answer that no client may get.
+	HeaderGarbled = "Garbled"
+	// HeaderAnsweredBy holds the instance ID of the server in its answers.
+	HeaderAnsweredBy = "Answered-By"
+	// HeaderLeaving is set to 1 in the answers of a server that says that it leaves.
+	HeaderLeaving = "Server-Leaving"
+)
 
 // resetShare is the share of the answers that are not garbled, but have no length and are reset.
 const resetShare = 0.2
--- a/standins/storer/storer.go
+++ b/standins/storer/storer.go
@@ -45,6 +45,8 @@
 	// Down refuses all calls with 503. Silent never answers, nor does it later answer the
 	// calls that were open meanwhile: it closes their connections after maxPollWait.
 	Down, Silent bool
+	// NoEra leaves the era out of the answers.
+	NoEra bool
 	// Delay is added before each call is handled.
 	Delay time.Duration
 	// LostReplyShare is the share of writes that take effect but get no answer, and
@@ -58,6 +60,7 @@
 func (f Fault) With(other Fault) Fault {
 	f.Down = f.Down || other.Down
 	f.Silent = f.Silent || other.Silent
+	f.NoEra = f.NoEra || other.NoEra
 	f.Delay = max(f.Delay, other.Delay)
 	f.LostReplyShare = max(f.LostReplyShare, other.LostReplyShare)
 	f.LateWriteShare = max(f.LateWriteShare, other.LateWriteShare)
@@ -233,7 +236,9 @@
 		s.mu.Lock()
 		fault, silences, era := s.fault, s.silences, s.era
 		s.mu.Unlock()
-		c.Header(headerEra, strconv.Itoa(era))
+		if !fault.NoEra {
+			c.Header(headerEra, strconv.Itoa(era))
+		}
 		host, _, _ := strings.Cut(c.RemoteAddr().String(), ":")
 		time.Sleep(fault.Delay)
 		refused := fault.Down || fault.RefusedIPs[host]
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -15,7 +15,7 @@
 
 // HandleAnnouncement handles an announcement or a leave notice of the backend server. It
 // returns once the guard has applied it and, if the server leaves, once the Source keeps
-// that for later processes on this VM.
+// that for later processes on this VM and peers were told.
 func (r *Runner) HandleAnnouncement(announcement enroller.Announcement, coldStart time.Duration) error {
 	departure, err := r.applyAnnouncement(announcement, coldStart)
 	if err != nil {
@@ -24,10 +24,15 @@
 	if !announcement.Leaving || departure.ID != announcement.ID {
 		return nil
 	}
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		r.tellNearPeers()
+	}()
 	if err := r.departures.await(departure); err != nil {
 		return err
 	}
-	r.tellNearPeers()
+	<-told
 	return nil
 }
 
@@ -75,37 +80,61 @@
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
 	announcement.ReceivedAt = r.now()
+	return r.enroll(announcement, coldStart)
+}
+
+// enroll applies an announcement and returns the last run that left. The caller holds
+// announcementMu.
+func (r *Runner) enroll(announcement enroller.Announcement, coldStart time.Duration) (enroller.Departure, error) {
 	next, verdict := r.enroller.WithAnnouncement(announcement)
-	r.enroller = next
-	if verdict == enroller.VerdictHeld {
-		r.held.Store(&heldAnnouncement{announcement: announcement, coldStart: coldStart})
+	if verdict != enroller.VerdictAnnounced && verdict != enroller.VerdictRetired {
+		r.deps.Log.Info("AnnouncementIgnored", "Server", announcement.ID, "Verdict", verdict.String(),
+			"Address", announcement.Address, "Sequence", announcement.Sequence, "StartedMs", announcement.StartedMs)
 	}
 	if announcement.Leaving {
-		r.departures.keep(next.Departure())
+		_, err := r.applyLeave(next, announcement.ID, verdict)
+		return next.Departure(), err
+	}
+	return next.Departure(), r.applyReady(next, announcement, verdict, coldStart)
+}
+
+// applyLeave applies that a run leaves, however that was learned: the guard retires the run and
+// the Source keeps the departure. It reports whether there is a new departure, which peers are
+// to be told. The caller holds announcementMu.
+func (r *Runner) applyLeave(next enroller.Enroller, run string, verdict enroller.Verdict) (departed bool, err error) {
+	departed = next.Departure() != r.enroller.Departure()
+	r.enroller = next
+	r.departures.keep(next.Departure())
+	if verdict != enroller.VerdictRetired {
+		return departed, nil
+	}
+	if err := r.guard.Retire(run); err != nil {
+		return departed, fmt.Errorf("retiring %s: %w", run, err)
 	}
-	return next.Departure(), r.applyVerdict(announcement, verdict, coldStart)
+	r.renewMemberStatus()
+	return departed, nil
 }
 
-// applyVerdict tells the guard what an announcement changes. The caller holds announcementMu.
-func (r *Runner) applyVerdict(announcement enroller.Announcement, verdict enroller.Verdict, coldStart time.Duration) error {
+// applyReady applies an announcement of a run that does not leave. The caller holds announcementMu.
+func (r *Runner) applyReady(next enroller.Enroller, announcement enroller.Announcement, verdict enroller.Verdict,
+	coldStart time.Duration,
+) error {
+	r.enroller = next
 	switch verdict {
 	case enroller.VerdictAnnounced:
 		r.held.Store(nil)
-		err := r.guard.Announce(guard.Announcement{
-			Address: announcement.Address, Run: announcement.ID, Service: announcement.Service, Slots: announcement.Slots,
-			ColdStart: coldStart, StartedMs: announcement.StartedMs,
-		})
-		if err != nil {
-			return fmt.Errorf("announcing %s to the guard: %w", announcement.ID, err)
-		}
-	case enroller.VerdictRetired:
-		if err := r.guard.Retire(announcement.ID); err != nil {
-			return fmt.Errorf("retiring %s: %w", announcement.ID, err)
-		}
-		r.renewMemberStatus()
+	case enroller.VerdictHeld:
+		r.held.Store(&heldAnnouncement{announcement: announcement, coldStart: coldStart})
+		return nil
 	default:
-		r.deps.Log.Info("AnnouncementIgnored", "Server", announcement.ID, "Verdict", verdict.String(),
-			"Address", announcement.Address, "Sequence", announcement.Sequence, "StartedMs", announcement.StartedMs)
+		return nil
+	}
+	err := r.guard.Announce(guard.Announcement{
+		Address: announcement.Address, Run: announcement.ID, Service: announcement.Service, Slots: announcement.Slots,
+		ColdStart: coldStart, StartedMs: announcement.StartedMs,
+	})
+	if err != nil {
+		return fmt.Errorf("announcing %s to the guard: %w", announcement.ID, err)
 	}
 	return nil
 }
@@ -189,14 +218,14 @@
 	return true
 }
 
-// handleLeavingAnswer retires a run whose answers say that it is shutting down, whether or
-// not its announcement of that arrives.
+// handleLeavingAnswer applies that a run's answers say that it is shutting down, like an
+// announcement of that, which may arrive late or never. It waits for neither the Source nor
+// peers.
 func (r *Runner) handleLeavingAnswer(run string, startedMs int64) {
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
 	next, verdict := r.enroller.WithLeavingAnswer(run, startedMs, r.now())
 	latest := r.enroller.Latest()
-	r.enroller = next
 	if verdict == enroller.VerdictRetired || run != latest.ID || startedMs != latest.StartedMs {
 		r.deps.Log.Info("LeavingAnswer", "Run", run, "StartedMs", startedMs, "Verdict", verdict.String(),
 			"Latest", latest.ID, "LatestStartedMs", latest.StartedMs)
@@ -204,9 +233,13 @@
 	if verdict != enroller.VerdictRetired {
 		return
 	}
-	if err := r.guard.Retire(run); err != nil {
+	departed, err := r.applyLeave(next, run, verdict)
+	if err != nil {
 		r.deps.Log.Error("RetireFailed", "Run", run, "Error", err)
 	}
+	if departed {
+		go r.tellNearPeers()
+	}
 }
 
 // handleDeparture applies the last departure before this process started, or the zero value
@@ -222,14 +255,11 @@
 		recall = r.enroller.WithDoubtedDeparture
 	}
 	next, verdict := recall(departure, now)
-	r.enroller, r.recalledEra = next, era
+	r.recalledEra = era
 	r.deps.Log.Info("DepartureRecalled", "Server", departure.ID, "StartedMs", departure.StartedMs,
 		"LeftMs", departure.LeftMs, "Verdict", verdict.String(), "Era", era)
-	if verdict == enroller.VerdictRetired {
-		if err := r.guard.Retire(departure.ID); err != nil {
-			r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
-		}
-		r.renewMemberStatus()
+	if _, err := r.applyLeave(next, departure.ID, verdict); err != nil {
+		r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
 	}
 	r.releaseHeld(now)
 	return r.enroller.Departure()
@@ -256,9 +286,7 @@
 	}
 	announcement := held.announcement
 	announcement.ReceivedAt = now
-	next, verdict := r.enroller.WithAnnouncement(announcement)
-	r.enroller = next
-	if err := r.applyVerdict(announcement, verdict, held.coldStart); err != nil {
+	if _, err := r.enroll(announcement, held.coldStart); err != nil {
 		r.deps.Log.Warn("AnnouncementRefused", "Server", announcement.ID, "Error", err)
 	}
 }
