enroller, runner: keep the leave of a run that is not the latest one known

A leave that an answer says was dropped unless its run was the latest one known and in service. A process that restarted knows no run, and one that knows a later run may be succeeded by one that does not; either would take a late announcement of the run that left for news.

WithLeft takes the word for any run: it retires the run if no later one is known, and keeps the departure in any case, unless a later one is known. The next run is announced as before, and held only while any would be.

TestLeavesOfUnknownRunsAreKept failed in seven of its eight parts on the decision as it was (with WithLeft standing for WithLeavingAnswer).

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -79,6 +79,11 @@
 	return d.LeftMs > other.LeftMs
 }
 
+// sameRun reports whether two departures are of the same run.
+func (d Departure) sameRun(other Departure) bool {
+	return d.ID == other.ID && d.StartedMs == other.StartedMs
+}
+
 // Enroller tracks the latest run of the server at one address. It is immutable.
 type Enroller struct {
 	address string
@@ -164,12 +169,24 @@
 }
 
 // WithLeavingAnswer returns the enroller after an answer in which a run says that it is
-// leaving, and VerdictRetired if that is the latest run and was not known to leave.
+// leaving; see WithLeft.
 func (e Enroller) WithLeavingAnswer(id string, startedMs int64, now clocker.Instant) (Enroller, Verdict) {
-	if id == "" || id != e.latest.ID || startedMs != e.latest.StartedMs || e.latest.Leaving {
+	return e.WithLeft(Departure{ID: id, StartedMs: startedMs, LeftMs: now.UnixMilli()}, now)
+}
+
+// WithLeft returns the enroller after an answer, or another process, has told that a run left,
+// and VerdictRetired if no later run is known and it was not known to leave. The departure of
+// an earlier run is kept as well: a process that does not know the later one may need it.
+func (e Enroller) WithLeft(departure Departure, now clocker.Instant) (Enroller, Verdict) {
+	known := e.latest.Leaving && e.latest.ID == departure.ID && e.latest.StartedMs == departure.StartedMs
+	if departure.ID == "" || known || e.departure.sameRun(departure) {
 		return e, VerdictStale
 	}
-	return e.withDeparted(now), VerdictRetired
+	next, verdict := e.withRecalled(departure, now)
+	if verdict == VerdictStale && departure.Later(e.departure) {
+		next.departure = departure
+	}
+	return next, verdict
 }
 
 const (
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -142,6 +142,74 @@
 	})
 }
 
+// TestLeavesOfUnknownRunsAreKept guards against a leave that is dropped since the process that
+// learns it does not know the run, as after a restart, or knows a later one.
+func TestLeavesOfUnknownRunsAreKept(t *testing.T) {
+	left := enroller.Departure{ID: "a", StartedMs: epoch, LeftMs: epoch + 2000}
+	requireLeft := func(t *testing.T, e enroller.Enroller, want enroller.Verdict) enroller.Enroller {
+		t.Helper()
+		e, verdict := e.WithLeft(left, at(3*time.Second))
+		require.Equal(t, want.String(), verdict.String())
+		require.Equal(t, left, e.Departure())
+		return e
+	}
+	unsettled := enroller.New(address, at(2*time.Second))
+	late, next := ready("a", 0, 7), ready("b", 2500, 1)
+	late.ReceivedAt, next.ReceivedAt = at(4*time.Second), at(4*time.Second)
+	t.Run("BeforeTheRecall", func(t *testing.T) {
+		e := requireLeft(t, unsettled, enroller.VerdictRetired)
+		requireVerdictsFrom(t, e, []enroller.Announcement{late, next}, enroller.VerdictStale, enroller.VerdictHeld)
+		e, _ = e.WithDeparture(enroller.Departure{}, at(4*time.Second))
+		require.Equal(t, left, e.Departure())
+		requireVerdictsFrom(t, e, []enroller.Announcement{late, next, late},
+			enroller.VerdictStale, enroller.VerdictAnnounced, enroller.VerdictStale)
+	})
+	t.Run("BeforeTheRecallOfAnEarlierOne", func(t *testing.T) {
+		e := requireLeft(t, unsettled, enroller.VerdictRetired)
+		e, _ = e.WithDeparture(enroller.Departure{ID: "z", StartedMs: epoch - 9000, LeftMs: epoch - 1000}, at(4*time.Second))
+		require.Equal(t, left, e.Departure())
+		requireVerdictsFrom(t, e, []enroller.Announcement{late, next}, enroller.VerdictStale, enroller.VerdictAnnounced)
+	})
+	t.Run("AfterTheRecall", func(t *testing.T) {
+		e := requireLeft(t, settled(), enroller.VerdictRetired)
+		requireVerdictsFrom(t, e, []enroller.Announcement{late, next}, enroller.VerdictStale, enroller.VerdictAnnounced)
+	})
+	t.Run("AfterTheLateAnnouncement", func(t *testing.T) {
+		e, verdict := settled().WithAnnouncement(late)
+		require.Equal(t, enroller.VerdictAnnounced, verdict)
+		e = requireLeft(t, e, enroller.VerdictRetired)
+		requireVerdictsFrom(t, e, []enroller.Announcement{ready("a", 0, 8), next}, enroller.VerdictStale, enroller.VerdictAnnounced)
+	})
+	t.Run("AfterTheNextRun", func(t *testing.T) {
+		e, _ := settled().WithAnnouncement(next)
+		e = requireLeft(t, e, enroller.VerdictStale)
+		require.Equal(t, "b", e.Latest().ID)
+		e = restarted(e, at(5*time.Second))
+		requireVerdictsFrom(t, e, []enroller.Announcement{late, next, late},
+			enroller.VerdictStale, enroller.VerdictAnnounced, enroller.VerdictStale)
+	})
+	t.Run("Again", func(t *testing.T) {
+		e := requireLeft(t, settled(), enroller.VerdictRetired)
+		requireLeft(t, e, enroller.VerdictStale)
+		e, verdict := e.WithLeft(enroller.Departure{ID: "a", StartedMs: epoch, LeftMs: epoch + 2500}, at(3*time.Second))
+		require.Equal(t, enroller.VerdictStale, verdict)
+		require.Equal(t, left, e.Departure(), "when it was first known")
+	})
+	t.Run("OfAnEarlierRunThanTheKnownDeparture", func(t *testing.T) {
+		e := requireLeft(t, settled(), enroller.VerdictRetired)
+		e, verdict := e.WithLeft(enroller.Departure{ID: "z", StartedMs: epoch - 9000, LeftMs: epoch + 2800}, at(3*time.Second))
+		require.Equal(t, enroller.VerdictStale, verdict)
+		require.Equal(t, left, e.Departure())
+	})
+	t.Run("ImplausibleOrNone", func(t *testing.T) {
+		for _, odd := range []enroller.Departure{{}, {ID: "x", StartedMs: -1}, {ID: "x", StartedMs: 9 * epoch, LeftMs: epoch}} {
+			e, verdict := settled().WithLeft(odd, at(3*time.Second))
+			require.NotEqual(t, enroller.VerdictRetired, verdict)
+			require.Empty(t, e.Departure())
+		}
+	})
+}
+
 // TestNoRunIsRevived generates announcements of several runs in any order, and restarts
 // of the process, and checks that a run that has left is never announced again and that
 // an earlier run never replaces a later one.
@@ -160,6 +228,15 @@
 					latest = -1 // A restart forgets the runs that did not leave.
 				}
 			}
+			if rapid.IntRange(0, 4).Draw(t, "answer") == 0 {
+				answered := rapid.Int64Range(0, 3).Draw(t, "answered")
+				next, verdict := e.WithLeavingAnswer("a", epoch+answered, at(time.Second))
+				e = next
+				if verdict == enroller.VerdictRetired {
+					latest = max(latest, answered)
+				}
+				left[answered] = true
+			}
 			next, verdict := e.WithAnnouncement(announcement)
 			e = next
 			switch verdict {
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -219,27 +219,29 @@
 }
 
 // handleLeavingAnswer applies that a run's answers say that it is shutting down, like an
-// announcement of that, which may arrive late or never. It waits for neither the Source nor
-// peers.
+// announcement of that, which may arrive late or never.
 func (r *Runner) handleLeavingAnswer(run string, startedMs int64) {
+	r.learnLeft("LeavingAnswer", enroller.Departure{ID: run, StartedMs: startedMs, LeftMs: r.now().UnixMilli()})
+}
+
+// learnLeft applies a departure that was learned in another way than by an announcement or
+// from the Source, and logs it if it is news. It waits for neither the Source nor peers.
+func (r *Runner) learnLeft(event string, departure enroller.Departure) {
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
-	next, verdict := r.enroller.WithLeavingAnswer(run, startedMs, r.now())
+	next, verdict := r.enroller.WithLeft(departure, r.now())
 	latest := r.enroller.Latest()
-	if verdict == enroller.VerdictRetired || run != latest.ID || startedMs != latest.StartedMs {
-		r.deps.Log.Info("LeavingAnswer", "Run", run, "StartedMs", startedMs, "Verdict", verdict.String(),
-			"Latest", latest.ID, "LatestStartedMs", latest.StartedMs)
-	}
-	if verdict != enroller.VerdictRetired {
-		return
-	}
-	departed, err := r.applyLeave(next, run, verdict)
+	departed, err := r.applyLeave(next, departure.ID, verdict)
 	if err != nil {
-		r.deps.Log.Error("RetireFailed", "Run", run, "Error", err)
+		r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
 	}
-	if departed {
-		go r.tellNearPeers()
+	if !departed {
+		return
 	}
+	r.deps.Log.Info(event, "Run", departure.ID, "StartedMs", departure.StartedMs, "LeftMs", departure.LeftMs,
+		"Verdict", verdict.String(), "Latest", latest.ID, "LatestStartedMs", latest.StartedMs)
+	r.deps.Meter.CountEvent(event)
+	go r.tellNearPeers()
 }
 
 // handleDeparture applies the last departure before this process started, or the zero value
