witness, rememberer: let those that passed a leave on tell the successor

An answer that says that its server leaves is passed on before the store has acknowledged the departure. A process killed until then left nothing: its successor read from the store that no run had left and took a late announcement for news. The same followed if the store was silent, or came back from an older copy. The VM that had passed the answer on knew of the leave and went on to send requests there (DRAIN binds just that VM).

The answer between processes now names the departure, and each process remembers what it has heard of a server (coordination/witness, pure), by the address of the process beside it, and which incarnation there knows it. Another incarnation at that address is told with the next request, which its guard decides about only after it has applied the word, and by a ping once gossip shows it. The three near peers that a process tells of a departure remember it likewise. What a process is told goes the way of all leaves: guard, store, peers. In calm weather no message grows.

The rule so holds with no store and no gossip at all: a request that could break it carries the word itself.

The next run is served as it was.

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -79,8 +79,8 @@
 	return d.LeftMs > other.LeftMs
 }
 
-// sameRun reports whether two departures are of the same run.
-func (d Departure) sameRun(other Departure) bool {
+// SameRun reports whether two departures are of the same run.
+func (d Departure) SameRun(other Departure) bool {
 	return d.ID == other.ID && d.StartedMs == other.StartedMs
 }
 
@@ -179,7 +179,7 @@
 // an earlier run is kept as well: a process that does not know the later one may need it.
 func (e Enroller) WithLeft(departure Departure, now clocker.Instant) (Enroller, Verdict) {
 	known := e.latest.Leaving && e.latest.ID == departure.ID && e.latest.StartedMs == departure.StartedMs
-	if departure.ID == "" || known || e.departure.sameRun(departure) {
+	if departure.ID == "" || known || e.departure.SameRun(departure) {
 		return e, VerdictStale
 	}
 	next, verdict := e.withRecalled(departure, now)
--- a/coordination/gossiper/message.go
+++ b/coordination/gossiper/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/warner"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 )
 
@@ -32,6 +33,9 @@
 	Known    []uint64
 	// Warnings are about failing servers.
 	Warnings []warner.Warning
+	// Own is what the sender's backend server said of itself, and Heard what the receiver may
+	// not know that its own one did.
+	Own, Heard witness.Statement
 }
 
 // Ping is a message to send. Its reply is passed to Acked, and a missing reply to Failed.
--- /dev/null
+++ b/coordination/witness/witness.go
@@ -0,0 +1,85 @@
+// Package witness remembers what backend servers beside other processes said of themselves in
+// answers. A process that succeeds a killed one learns it from those that passed the answers on.
+package witness
+
+import (
+	"time"
+
+	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+)
+
+// departureLifetime is how long a departure is remembered. By then a server that left has
+// ended, and all announcements that it sent before have arrived.
+const departureLifetime = 10 * time.Minute
+
+// Statement is what is known of a backend server by its own words. The zero value says nothing.
+type Statement struct {
+	// Departure is the last run that left.
+	Departure enroller.Departure
+}
+
+// Empty reports whether the statement says nothing.
+func (s Statement) Empty() bool { return s == Statement{} }
+
+// Memory is what a process remembers of the backend server at one address. It is immutable.
+// The zero value remembers nothing.
+type Memory struct {
+	said      Statement
+	departure source
+}
+
+// source is where a part of a memory comes from.
+type source struct {
+	// heardAt is the monotonic time at which it was heard.
+	heardAt time.Duration
+	// knownBy is the incarnation of the last process beside the server that knows it. A
+	// process at the same address with another incarnation does not.
+	knownBy uint64
+}
+
+// WithDeparture returns the memory after the process of an incarnation has told that a run of
+// its server left. An earlier run than the remembered one changes nothing.
+func (m Memory) WithDeparture(departure enroller.Departure, incarnation uint64, now clocker.Instant) Memory {
+	sameRun := departure.SameRun(m.said.Departure)
+	if departure.ID == "" || !sameRun && m.said.Departure.Later(departure) {
+		return m
+	}
+	if !sameRun {
+		m.said.Departure = departure
+	}
+	m.departure = source{heardAt: now.Mono, knownBy: incarnation}
+	return m
+}
+
+// WithTold returns the memory after the process of an incarnation was told a statement.
+func (m Memory) WithTold(told Statement, incarnation uint64) Memory {
+	if told.Departure.SameRun(m.said.Departure) {
+		m.departure.knownBy = incarnation
+	}
+	return m
+}
+
+// UnknownTo returns what the process of an incarnation is to be told.
+func (m Memory) UnknownTo(incarnation uint64, now clocker.Instant) Statement {
+	said := m.current(now)
+	if m.departure.knownBy == incarnation {
+		said.Departure = enroller.Departure{}
+	}
+	return said
+}
+
+// Statement returns what was heard last, also if it has expired.
+func (m Memory) Statement() Statement { return m.said }
+
+// Empty reports whether nothing is remembered any more.
+func (m Memory) Empty(now clocker.Instant) bool { return m.current(now).Empty() }
+
+// current returns what has not expired.
+func (m Memory) current(now clocker.Instant) Statement {
+	said := m.said
+	if now.Mono-m.departure.heardAt > departureLifetime {
+		said.Departure = enroller.Departure{}
+	}
+	return said
+}
--- a/proofs/departures_test.go
+++ b/proofs/departures_test.go
@@ -133,6 +133,14 @@
 // kill ends process i by SIGKILL.
 func (f *leavingFleet) kill(i int) { f.end(i, syscall.SIGKILL) }
 
+// pause stops process i for a while.
+func (f *leavingFleet) pause(i int, d time.Duration) {
+	f.t.Helper()
+	require.NoError(f.t, f.procs[i].Process.Signal(syscall.SIGSTOP))
+	time.Sleep(d)
+	require.NoError(f.t, f.procs[i].Process.Signal(syscall.SIGCONT))
+}
+
 func (f *leavingFleet) end(i int, signal syscall.Signal) {
 	if f.procs[i] == nil {
 		return
--- a/proofs/leaving_answers_test.go
+++ b/proofs/leaving_answers_test.go
@@ -32,8 +32,29 @@
 	return f
 }
 
+// restartWithLateAnnouncements starts process 0 again. Announcements from before the leave arrive
+// while it starts, right after that and later.
+func (f *leavingFleet) restartWithLateAnnouncements(last int) {
+	f.t.Helper()
+	early := make(chan struct{})
+	go func() {
+		defer close(early)
+		for range 10 {
+			f.announce("ready", last+1)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	f.start(0)
+	<-early
+	f.announce("ready", last+2)
+	f.requireNoWork("a late announcement right after the start")
+	f.announce("ready", last+3)
+	f.requireNoWork("a later announcement")
+}
+
 // TestLeavingAnswersOutliveTheProcess guards against new work for a server that said in an answer
-// that it leaves, after the process beside it was killed and a late announcement arrived.
+// that it leaves, after the process beside it was killed and a late announcement arrived. Process
+// 1 has passed the answer on.
 func TestLeavingAnswersOutliveTheProcess(t *testing.T) {
 	t.Run("KilledOnceTheStoreHasIt", func(t *testing.T) {
 		f := startTrustingFleet(t, 144)
@@ -48,4 +69,90 @@
 			f.requireNoWork(fmt.Sprintf("after kill %d", kill+1))
 		}
 	})
+	for i, after := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(fmt.Sprintf("Killed%sLaterBeforeTheStoreHasIt", after), func(t *testing.T) {
+			f := startTrustingFleet(t, 145+i)
+			last := f.putInService(0)
+			f.store.SetFault(storer.Fault{NoEra: true, Delay: storeTime})
+			f.sayLeaving()
+			time.Sleep(after)
+			f.kill(0)
+			f.store.SetFault(storer.Fault{NoEra: true})
+			f.restartWithLateAnnouncements(last)
+		})
+	}
+	t.Run("TwoKillsInARow", func(t *testing.T) {
+		f := startTrustingFleet(t, 148)
+		last := f.putInService(0)
+		f.store.SetFault(storer.Fault{NoEra: true, Delay: storeTime})
+		f.sayLeaving()
+		f.kill(0)
+		f.start(0)
+		f.announce("ready", last+1)
+		f.kill(0)
+		f.store.SetFault(storer.Fault{NoEra: true})
+		f.restartWithLateAnnouncements(last + 1)
+	})
+	for i, fault := range []storer.Fault{{Silent: true}, {Down: true}, {Delay: storeTime}} {
+		t.Run(fmt.Sprintf("StoreFault%d", i), func(t *testing.T) {
+			f := startTrustingFleet(t, 149+i)
+			last := f.putInService(0)
+			fault.NoEra = true
+			f.store.SetFault(fault)
+			f.sayLeaving()
+			f.kill(0)
+			f.restartWithLateAnnouncements(last)
+			f.store.SetFault(storer.Fault{NoEra: true})
+			f.announce("ready", last+4)
+			f.requireNoWork("after the store is back")
+		})
+	}
+	t.Run("OlderStore", func(t *testing.T) {
+		f := startTrustingFleet(t, 152)
+		last := f.putInService(0)
+		f.sayLeaving()
+		time.Sleep(storeTime)
+		f.kill(0)
+		f.store.Restore(time.Minute)
+		f.store.Publish([]byte(leavingConfiguration))
+		f.restartWithLateAnnouncements(last)
+	})
+	t.Run("Paused", func(t *testing.T) {
+		f := startTrustingFleet(t, 153)
+		last := f.putInService(0)
+		f.sayLeaving()
+		f.pause(0, 7*time.Second) // Longer than servers count as present without announcements.
+		f.announce("ready", last+1)
+		f.requireNoWork("after a pause")
+	})
+}
+
+// TestNextRunsAreNotHeldByLeavingAnswers guards against a next run at an address that is held
+// longer since the run before it left with an answer only.
+func TestNextRunsAreNotHeldByLeavingAnswers(t *testing.T) {
+	f := startTrustingFleet(t, 154)
+	f.putInService(0)
+	f.store.SetFault(storer.Fault{NoEra: true, Delay: storeTime})
+	f.sayLeaving()
+	f.kill(0)
+	f.store.SetFault(storer.Fault{NoEra: true})
+	f.start(0)
+	f.server.SetFault(responder.Fault{NoHeartbeats: true})
+	f.bornMs = time.Now().UnixMilli()
+	require.Equal(t, http.StatusOK, f.announce("ready", 1))
+	began := time.Now()
+	require.Eventually(t, func() bool { return f.write() == http.StatusOK }, 2*time.Second, 10*time.Millisecond)
+	t.Logf("served %s after the announcement", time.Since(began))
+}
+
+// TestLeavingAnswersAreNotHeld guards against an answer that waits for the store since it says
+// that its server leaves.
+func TestLeavingAnswersAreNotHeld(t *testing.T) {
+	const maxTime = 250 * time.Millisecond // Less than the store takes.
+	f := startTrustingFleet(t, 155)
+	f.putInService(0)
+	f.store.SetFault(storer.Fault{NoEra: true, Silent: true})
+	began := time.Now()
+	f.sayLeaving()
+	require.Less(t, time.Since(began), maxTime)
 }
--- a/transport/converter/converter.go
+++ b/transport/converter/converter.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/locker"
 	"github.com/foxtailhall/foxtailhall/coordination/warner"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 )
@@ -69,6 +71,8 @@
 		ZoneConfirmedMs: ageToProto(message.ZoneConfirmed),
 		Era:             message.Era,
 		EraAgeMs:        ageToProto(message.EraAge),
+		Own:             StatementToProto(message.Own),
+		Heard:           StatementToProto(message.Heard),
 	}
 }
 
@@ -91,6 +95,29 @@
 		ZoneConfirmed: ageFromProto(message.GetZoneConfirmedMs()),
 		Era:           message.GetEra(),
 		EraAge:        ageFromProto(message.GetEraAgeMs()),
+		Own:           StatementFromProto(message.GetOwn()),
+		Heard:         StatementFromProto(message.GetHeard()),
+	}
+}
+
+// StatementToProto converts what a backend server said of itself, to nil if it said nothing.
+func StatementToProto(said witness.Statement) *messenger.Statement {
+	if said.Empty() {
+		return nil
+	}
+	return &messenger.Statement{
+		LeftRun:          said.Departure.ID,
+		LeftRunStartedMs: said.Departure.StartedMs,
+		LeftMs:           said.Departure.LeftMs,
+	}
+}
+
+// StatementFromProto converts a message, nil for none, to what a backend server said of itself.
+func StatementFromProto(message *messenger.Statement) witness.Statement {
+	return witness.Statement{
+		Departure: enroller.Departure{
+			ID: message.GetLeftRun(), StartedMs: message.GetLeftRunStartedMs(), LeftMs: message.GetLeftMs(),
+		},
 	}
 }
 
--- a/transport/converter/converter_test.go
+++ b/transport/converter/converter_test.go
@@ -8,7 +8,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
 	"github.com/foxtailhall/foxtailhall/coordination/locker"
+	"github.com/foxtailhall/foxtailhall/coordination/warner"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/converter"
@@ -25,6 +29,15 @@
 	})
 }
 
+func TestStatementRoundTrips(t *testing.T) {
+	want := witness.Statement{Departure: enroller.Departure{ID: "a", StartedMs: 3, LeftMs: 5}}
+	require.Equal(t, want, converter.StatementFromProto(converter.StatementToProto(want)))
+	message := gossiper.Message{Changes: []registrar.Member{}, Warnings: []warner.Warning{}, Own: want, Heard: want}
+	require.Equal(t, message, converter.GossipFromProto(converter.GossipToProto(message)))
+	require.Nil(t, converter.StatementToProto(witness.Statement{}))
+	require.True(t, converter.StatementFromProto(nil).Empty())
+}
+
 func TestUnknownStatesStayUnknown(t *testing.T) {
 	require.False(t, converter.MemberFromProto(&messenger.Member{State: 1 << 20}).State.Known())
 	require.False(t, converter.MemberFromProto(&messenger.Member{State: 250}).State.Known())
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/transport/converter"
 	"github.com/foxtailhall/foxtailhall/transport/forwarder"
 )
 
@@ -49,6 +50,7 @@
 		WorkUs:    g.workLeftWithout(work.head).Microseconds(),
 
 		RetryFunded: funded,
+		Statement:   converter.StatementToProto(work.said),
 	}
 	if err := sendStart(stream, head, first); err != nil {
 		if !ended {
--- a/transport/guard/failure.go
+++ b/transport/guard/failure.go
@@ -33,6 +33,7 @@
 	g.mu.Unlock()
 	err := g.refuse(stream, work.head, refusal{
 		outcome: answerer.OutcomeNotRun, reason: reason, fromServer: true, retryFunded: funded,
+		said: work.said,
 	})
 	exchange.Drain()
 	return err
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -13,10 +13,12 @@
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/protocol/answerer"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
+	"github.com/foxtailhall/foxtailhall/transport/converter"
 	"github.com/foxtailhall/foxtailhall/transport/reserver"
 )
 
@@ -63,6 +65,8 @@
 	memory *reserver.Reservation
 	// overdue is set once the breaker was told that the response is overdue.
 	overdue bool
+	// said is what the backend server said of itself in its answer.
+	said witness.Statement
 }
 
 // requestInfo returns the values for the header fields sent to the backend server.
@@ -90,6 +94,8 @@
 	retryFunded bool
 	// retryAfter is the time after which a slot is expected to be free, 0 if unknown.
 	retryAfter time.Duration
+	// said is what the backend server said of itself when it refused the request.
+	said witness.Statement
 }
 
 // busy reports whether the attempt was refused for lack of a slot.
@@ -115,6 +121,7 @@
 	budget := time.Duration(head.BudgetUs) * time.Microsecond
 	ctx, cancel := context.WithTimeout(stream.Context(), budget)
 	defer cancel()
+	g.learnStatement(head)
 	g.beginWork(head)
 	defer g.endWork(head)
 	work, refused := g.admit(ctx, stream, head, budget)
@@ -166,6 +173,7 @@
 		RetryAfterMs:         uint32(min(refused.retryAfter.Milliseconds(), math.MaxUint32)),
 		AvoidMs:              uint32(avoid.Milliseconds()),
 		AvoidNonIdempotentMs: uint32(avoidNonIdempotent.Milliseconds()),
+		Statement:            converter.StatementToProto(refused.said),
 	}}})
 }
 
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -18,10 +18,12 @@
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
 	"github.com/foxtailhall/foxtailhall/coordination/detector"
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/coordination/estimator"
 	"github.com/foxtailhall/foxtailhall/coordination/limiter"
 	"github.com/foxtailhall/foxtailhall/coordination/locker"
 	"github.com/foxtailhall/foxtailhall/coordination/retrier"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
@@ -54,9 +56,12 @@
 	// lock is not held during the call.
 	OnChange func()
 	// OnLeaving is called with the run of the backend server whose answer says that it is
-	// shutting down, and the Unix time of its start. The guard's lock is not held during
-	// the call.
-	OnLeaving func(run string, startedMs int64)
+	// shutting down, and the Unix time of its start. It returns the run's departure. The
+	// guard's lock is not held during the call.
+	OnLeaving func(run string, startedMs int64) enroller.Departure
+	// OnStatement is called with what a router knows that the backend server said of itself
+	// to an earlier process. The guard's lock is not held during the call.
+	OnStatement func(said witness.Statement)
 	// FinishesBeforeStop reports whether a request of an expected duration would finish
 	// before a planned stop cuts it off; always true if no stop is planned.
 	FinishesBeforeStop func(expected time.Duration) bool
--- a/transport/guard/statement.go
+++ b/transport/guard/statement.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
+	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/transport/converter"
 )
 
 // recordStatements applies what the server's answer says of the server itself: how many
@@ -15,7 +17,14 @@
 	}
 	g.recordLimit(work, info)
 	if info.Leaving {
-		g.deps.OnLeaving(work.run, work.runStartedMs)
+		work.said.Departure = g.deps.OnLeaving(work.run, work.runStartedMs)
+	}
+}
+
+// learnStatement applies what an attempt's router knows of the server and this process may not.
+func (g *Guard) learnStatement(head *messenger.RequestHead) {
+	if head.Statement != nil {
+		g.deps.OnStatement(converter.StatementFromProto(head.Statement))
 	}
 }
 
--- a/transport/guard/statement_test.go
+++ b/transport/guard/statement_test.go
@@ -19,6 +19,8 @@
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
@@ -41,6 +43,14 @@
 	// the guard was told of.
 	leaving atomic.Bool
 	left    []string
+	// told holds what routers told the guard that the server had said.
+	told []witness.Statement
+	// statement is sent along with attempts, and retireOnStatement makes the process retire the
+	// run that it names.
+	statement         *messenger.Statement
+	retireOnStatement bool
+	// refusing is set while the server refuses requests.
+	refusing atomic.Bool
 	// stopping is set while a planned stop lets only attempts below maxDuringStop begin.
 	stopping atomic.Bool
 	catalog  cataloger.Catalog
@@ -69,7 +79,10 @@
 // WithGroup implements slog.Handler.
 func (d dispatches) WithGroup(string) slog.Handler { return d }
 
-const maxDuringStop = time.Second
+const (
+	maxDuringStop = time.Second
+	leftMs        = 7
+)
 
 func newNeedyServer(t *testing.T) *needyServer {
 	t.Helper()
@@ -86,6 +99,9 @@
 		if s.leaving.Load() {
 			w.Header().Set("X-Leaving", "1")
 		}
+		if s.refusing.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 	}))
 	t.Cleanup(served.Close)
 	s.guard = guard.New(guard.Dependencies{
@@ -94,9 +110,18 @@
 		Now: func() clocker.Instant {
 			return clocker.Instant{Mono: time.Duration(s.clock.Load()), Wall: time.Duration(s.clock.Load())}
 		},
-		Catalog:               func() cataloger.Catalog { return s.catalog },
-		OnChange:              func() {},
-		OnLeaving:             func(run string, _ int64) { s.left = append(s.left, run) },
+		Catalog:  func() cataloger.Catalog { return s.catalog },
+		OnChange: func() {},
+		OnLeaving: func(run string, startedMs int64) enroller.Departure {
+			s.left = append(s.left, run)
+			return enroller.Departure{ID: run, StartedMs: startedMs, LeftMs: leftMs}
+		},
+		OnStatement: func(said witness.Statement) {
+			s.told = append(s.told, said)
+			if s.retireOnStatement {
+				require.NoError(t, s.guard.Retire(said.Departure.ID))
+			}
+		},
 		FinishesBeforeStop:    func(expected time.Duration) bool { return !s.stopping.Load() || expected < maxDuringStop },
 		OnDisplaced:           func(string) { s.displaced.Add(1) },
 		EjectionRoundLifetime: ejector.RoundLifetime,
@@ -105,7 +130,10 @@
 			Annotate: func(*protocol.RequestHeader, interpreter.RequestInfo) {},
 			Inspect: func(header *protocol.ResponseHeader, _ interpreter.RequestInfo) interpreter.AnswerInfo {
 				limit, err := strconv.ParseFloat(string(header.Peek("X-Limit")), 64)
-				return interpreter.AnswerInfo{Limit: limit, Limited: err == nil, Leaving: len(header.Peek("X-Leaving")) > 0}
+				return interpreter.AnswerInfo{
+					Limit: limit, Limited: err == nil, Leaving: len(header.Peek("X-Leaving")) > 0,
+					NotRun: header.StatusCode() == http.StatusServiceUnavailable,
+				}
 			},
 		},
 	})
@@ -165,7 +193,7 @@
 	stream := &attemptStream{ctx: ctx, toGuard: make(chan *messenger.Frame, 2)}
 	stream.toGuard <- &messenger.Frame{Part: &messenger.Frame_Request{Request: &messenger.RequestHead{
 		Attempt: make([]byte, 16), Incarnation: 1, Service: "billing", Idempotent: true, Offer: true, Insist: true,
-		BudgetUs: (10 * time.Second).Microseconds(),
+		BudgetUs: (10 * time.Second).Microseconds(), Statement: s.statement,
 	}}}
 	require.NoError(t, s.guard.Forward(stream))
 	require.True(t, stream.answered != (stream.refused != nil), "an attempt is answered or refused")
@@ -226,8 +254,39 @@
 	s.attempt(t, time.Millisecond)
 	require.Empty(t, s.left)
 	s.leaving.Store(true)
-	require.True(t, s.attempt(t, time.Millisecond).answered, "the answer itself is passed on")
+	end := s.attempt(t, time.Millisecond)
+	require.True(t, end.answered, "the answer itself is passed on")
 	require.Equal(t, []string{"first"}, s.left)
+	require.Equal(t, "first", end.head.Statement.GetLeftRun(), "its router learns it")
+	require.EqualValues(t, leftMs, end.head.Statement.GetLeftMs())
+}
+
+// TestLeavingRefusalsAreReported guards against a router that does not learn of a leave that the
+// server says as it refuses a request.
+func TestLeavingRefusalsAreReported(t *testing.T) {
+	s := newNeedyServer(t)
+	s.leaving.Store(true)
+	s.refusing.Store(true)
+	end := s.attempt(t, time.Millisecond)
+	require.NotNil(t, end.refused)
+	require.Equal(t, []string{"first"}, s.left)
+	require.Equal(t, "first", end.refused.Statement.GetLeftRun())
+}
+
+// TestGuardsLearnFromRouters guards against an attempt that a guard decides about before it has
+// learned what the attempt's router knows of the server.
+func TestGuardsLearnFromRouters(t *testing.T) {
+	s := newNeedyServer(t)
+	require.True(t, s.attempt(t, time.Millisecond).answered)
+	require.Empty(t, s.told)
+	s.retireOnStatement = true
+	s.statement = &messenger.Statement{LeftRun: "first", LeftRunStartedMs: 3, LeftMs: 5}
+	before := s.arrivals.Load()
+	end := s.attempt(t, time.Millisecond)
+	require.NotNil(t, end.refused)
+	require.True(t, end.refused.Leaving)
+	require.Equal(t, before, s.arrivals.Load())
+	require.Equal(t, []witness.Statement{{Departure: enroller.Departure{ID: "first", StartedMs: 3, LeftMs: 5}}}, s.told)
 }
 
 // TestAttemptsThatEndBeforeTheStop guards against a server that stands idle from the
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/deduplicator"
 	"github.com/foxtailhall/foxtailhall/coordination/picker"
 	"github.com/foxtailhall/foxtailhall/coordination/searcher"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/protocol/answerer"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/state/tracker"
@@ -51,6 +52,8 @@
 	// expected is the service time that the request is expected to need at the server, 0
 	// if its service is not balanced by work.
 	expected time.Duration
+	// told is what the guard is told that its server said of itself to an earlier process.
+	told witness.Statement
 	// responded is set once any frame has arrived from the guard.
 	responded bool
 	// released is set once the guard has been allowed to run the attempt.
@@ -123,7 +126,10 @@
 	r.logRouted(request, entry, reason, insist, expected)
 	ctx, cancel := context.WithCancel(ctx)
 	start := r.deps.Now()
-	outcome := result{entry: entry, cancel: cancel, issuedMs: start.UnixMilli(), attemptID: r.newAttemptID(), expected: expected}
+	outcome := result{
+		entry: entry, cancel: cancel, issuedMs: start.UnixMilli(), attemptID: r.newAttemptID(), expected: expected,
+		told: r.deps.Statements.UnknownTo(entry.Member),
+	}
 	entry.Server.Begin(start.Mono)
 	entry.Server.BeginWork(expected)
 	r.forward(ctx, request, &outcome, insist)
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
+	"github.com/foxtailhall/foxtailhall/transport/converter"
 )
 
 // forward runs the attempt's Forward stream and sets the outcome. An attempt that
@@ -52,6 +53,9 @@
 			return
 		}
 		admissionTimer.Stop()
+		if !outcome.responded {
+			r.deps.Statements.RecordTold(outcome.entry.Member, outcome.told)
+		}
 		outcome.responded = true
 		if verdict := frame.GetVerdict(); verdict != nil {
 			if verdict.Admitted {
@@ -61,10 +65,12 @@
 			if verdict.Queued {
 				continue
 			}
+			r.hear(outcome, verdict.Statement)
 			outcome.applyVerdict(verdict)
 			return
 		}
 		if answer := frame.GetAnswer(); answer != nil {
+			r.hear(outcome, answer.Statement)
 			outcome.head = answer
 			r.readAnswer(request, outcome)
 			return
@@ -74,6 +80,12 @@
 	}
 }
 
+// hear records what the backend server of an attempt said of itself. It does so before any
+// other process or the caller gets the answer, and for attempts whose answer nobody wants.
+func (r *Router) hear(outcome *result, said *messenger.Statement) {
+	r.deps.Statements.Hear(outcome.entry.Member, converter.StatementFromProto(said))
+}
+
 // readAnswer reads the first bytes of an answer. A request whose answer there is no memory
 // for has run, or may have.
 func (r *Router) readAnswer(request *callerRequest, outcome *result) {
@@ -127,6 +139,7 @@
 		Funded:      request.funded,
 		Retryable:   request.arrivals+1 < request.maxArrivals(),
 		CostUs:      outcome.expected.Microseconds(),
+		Statement:   converter.StatementToProto(outcome.told),
 	}
 }
 
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/acceptor"
 	"github.com/foxtailhall/foxtailhall/transport/meter"
+	"github.com/foxtailhall/foxtailhall/transport/rememberer"
 	"github.com/foxtailhall/foxtailhall/transport/reserver"
 )
 
@@ -76,6 +77,8 @@
 	// release returns the quota.
 	AcquireQuota func(ctx context.Context, customer cataloger.Customer) (release func(), retryAfter time.Duration, ok bool)
 	Meter        *meter.Meter
+	// Statements holds what backend servers said of themselves in answers that were passed on.
+	Statements *rememberer.Rememberer
 	// Memory is the account of the process; nil has no limit.
 	Memory *reserver.Reserver
 	// MaxConnections bounds the connections of callers; 0 means no bound.
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -9,6 +9,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/state/registrar"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 )
@@ -50,14 +51,19 @@
 	spreadTime = time.Second
 )
 
-// tellNearPeers sends the own entry to some peers and waits for their replies.
+// tellNearPeers sends the own entry and the last departure to some peers and waits for their
+// replies. They tell a successor of this process.
 func (r *Runner) tellNearPeers() {
+	r.announcementMu.Lock()
+	own := witness.Statement{Departure: r.enroller.Departure()}
+	r.announcementMu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), maxTellTime)
 	defer cancel()
 	var told sync.WaitGroup
 	for _, peer := range enroller.Witnesses(*r.self.Load(), r.roster.Load().Members(), toldPeers) {
 		told.Go(func() {
 			ping := r.pingTo(peer)
+			ping.Message.Own = own
 			reply, err := r.exchangeGossip(ctx, ping)
 			if err != nil {
 				r.deps.Log.Debug("PingFailed", "Address", peer.Address, "Error", err)
@@ -219,14 +225,26 @@
 }
 
 // handleLeavingAnswer applies that a run's answers say that it is shutting down, like an
-// announcement of that, which may arrive late or never.
-func (r *Runner) handleLeavingAnswer(run string, startedMs int64) {
-	r.learnLeft("LeavingAnswer", enroller.Departure{ID: run, StartedMs: startedMs, LeftMs: r.now().UnixMilli()})
+// announcement of that, which may arrive late or never. It returns the run's departure.
+func (r *Runner) handleLeavingAnswer(run string, startedMs int64) enroller.Departure {
+	departure := enroller.Departure{ID: run, StartedMs: startedMs, LeftMs: r.now().UnixMilli()}
+	if last := r.learnLeft("LeavingAnswer", departure); last.SameRun(departure) {
+		return last
+	}
+	return departure
+}
+
+// learnStatement applies what another process heard the backend server say of itself.
+func (r *Runner) learnStatement(said witness.Statement) {
+	if r.deps.Source != nil && said.Departure.ID != "" {
+		r.learnLeft("DepartureTold", said.Departure)
+	}
 }
 
 // learnLeft applies a departure that was learned in another way than by an announcement or
-// from the Source, and logs it if it is news. It waits for neither the Source nor peers.
-func (r *Runner) learnLeft(event string, departure enroller.Departure) {
+// from the Source, and logs it if it is news. It waits for neither the Source nor peers, and
+// returns the last departure that is then known.
+func (r *Runner) learnLeft(event string, departure enroller.Departure) enroller.Departure {
 	r.announcementMu.Lock()
 	defer r.announcementMu.Unlock()
 	next, verdict := r.enroller.WithLeft(departure, r.now())
@@ -236,12 +254,13 @@
 		r.deps.Log.Error("RetireFailed", "Run", departure.ID, "Error", err)
 	}
 	if !departed {
-		return
+		return next.Departure()
 	}
 	r.deps.Log.Info(event, "Run", departure.ID, "StartedMs", departure.StartedMs, "LeftMs", departure.LeftMs,
 		"Verdict", verdict.String(), "Latest", latest.ID, "LatestStartedMs", latest.StartedMs)
 	r.deps.Meter.CountEvent(event)
 	go r.tellNearPeers()
+	return next.Departure()
 }
 
 // handleDeparture applies the last departure before this process started, or the zero value
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -100,6 +100,9 @@
 	for _, ping := range pings {
 		go r.ping(ctx, ping)
 	}
+	for _, process := range r.statements.Due(*r.roster.Load()) {
+		go r.ping(ctx, r.pingTo(process))
+	}
 	r.checkAlone()
 }
 
@@ -118,14 +121,20 @@
 	r.pingIndirectly(ctx, ping.Incarnation)
 }
 
+// exchangeGossip sends a ping and returns the reply. Both tell what the other process may not
+// know that its server said of itself.
 func (r *Runner) exchangeGossip(ctx context.Context, ping gossiper.Ping) (gossiper.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	ping.Message.Heard = r.statements.UnknownTo(registrar.Member{Address: ping.Address, Incarnation: ping.Incarnation})
 	reply, err := r.connector.GuardClient(ctx, ping.Address).Gossip(ctx, converter.GossipToProto(ping.Message))
 	if err != nil {
 		return gossiper.Message{}, fmt.Errorf("exchanging gossip: %w", err)
 	}
-	return converter.GossipFromProto(reply), nil
+	received := converter.GossipFromProto(reply)
+	r.statements.RecordTold(received.Sender, ping.Message.Heard)
+	r.learnStatement(received.Heard)
+	return received, nil
 }
 
 // handleAck merges the reply to a ping and sends the further pings that it requires.
--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -88,6 +88,8 @@
 		return nil, errMalformed
 	}
 	r := s.runner
+	r.statements.Hear(received.Sender, received.Own)
+	r.learnStatement(received.Heard)
 	r.gossipMu.Lock()
 	reply := r.gossip.Receive(r.now(), received)
 	warnings := r.gossip.TakeWarnings()
@@ -98,6 +100,7 @@
 	if received.ConfigVersion > r.catalog().Version() {
 		go r.fetchIfNewer(context.WithoutCancel(ctx), received.Sender.Address, received.ConfigVersion)
 	}
+	reply.Heard = r.statements.UnknownTo(received.Sender)
 	return converter.GossipToProto(reply), nil
 }
 
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -34,6 +34,7 @@
 	"github.com/foxtailhall/foxtailhall/transport/connector"
 	"github.com/foxtailhall/foxtailhall/transport/guard"
 	"github.com/foxtailhall/foxtailhall/transport/meter"
+	"github.com/foxtailhall/foxtailhall/transport/rememberer"
 	"github.com/foxtailhall/foxtailhall/transport/reserver"
 	"github.com/foxtailhall/foxtailhall/transport/router"
 )
@@ -111,6 +112,8 @@
 	// announcementMu guards it.
 	recalledEra uint64
 	quotas      *quotas
+	// statements holds what the backend servers beside other processes said of themselves.
+	statements *rememberer.Rememberer
 	// asking is set while peers are asked about the process before this one.
 	asking atomic.Bool
 	// maxKnownServers is the largest number of servers known at the same time, by
@@ -168,6 +171,7 @@
 			deps.Log,
 		)
 	}
+	r.statements = rememberer.New(r.now, deps.Log)
 	r.claims = newClaims(r)
 	r.memory = r.newMemory()
 	r.buildMembership()
@@ -234,6 +238,7 @@
 		Catalog:               r.catalog,
 		OnChange:              r.updateMemberStatus,
 		OnLeaving:             r.handleLeavingAnswer,
+		OnStatement:           r.learnStatement,
 		FinishesBeforeStop:    r.finishesBeforeStop,
 		OnDisplaced:           func(service string) { r.deps.Meter.CountShed(service, "Displaced") },
 		EjectionRoundLifetime: ejector.RoundLifetime,
@@ -272,6 +277,7 @@
 		GuardBinding:       r.claims.GuardBinding,
 		KeyLifetime:        r.deps.Settings.KeyLifetime,
 		Meter:              r.deps.Meter,
+		Statements:         r.statements,
 		Memory:             r.memory,
 		MaxConnections:     maxConnections(r.deps.Settings.DescriptorLimit),
 		MaxRequests:        maxRequests(r.deps.Settings.DescriptorLimit),
