pacer, witness, guard: let a server's limit outlive the process beside it

The limit goes the way of departures: the answer between processes names it, the routers that pass it on remember it for 30 s after it was last named and tell another incarnation with the next request or by a ping. What the server itself has shown since goes first, then the lowest of several. A run that is announced again keeps its limit.

Nothing is written to the store for a limit: those it binds carry it, and a VM that never passed one on is not bound.

--- a/coordination/pacer/pacer.go
+++ b/coordination/pacer/pacer.go
@@ -24,6 +24,8 @@
 type Pacer struct {
 	// perSecond is 0 without a limit.
 	perSecond float64
+	// heard is set once the server itself has shown what it takes.
+	heard bool
 	// tokens is the number of requests that the server takes at the time updatedAt.
 	tokens    float64
 	updatedAt clocker.Instant
@@ -32,9 +34,28 @@
 // SetLimit limits the server to a number of requests a second, and reports whether the
 // limit changed. Numbers that are no rate are ignored.
 func (p *Pacer) SetLimit(now clocker.Instant, perSecond float64) bool {
-	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+	if !isRate(perSecond) {
 		return false
 	}
+	p.heard = true
+	return p.set(now, perSecond)
+}
+
+// Recall sets the limit that the server named to an earlier process, and reports whether the
+// limit changed. What the server itself has shown since goes first, and then the lowest of
+// several limits.
+func (p *Pacer) Recall(now clocker.Instant, perSecond float64) bool {
+	if !isRate(perSecond) || p.heard || p.perSecond > 0 && p.perSecond <= perSecond {
+		return false
+	}
+	return p.set(now, perSecond)
+}
+
+func isRate(perSecond float64) bool {
+	return !math.IsNaN(perSecond) && !math.IsInf(perSecond, 0) && perSecond >= 0
+}
+
+func (p *Pacer) set(now clocker.Instant, perSecond float64) bool {
 	perSecond = max(perSecond, minPerSecond)
 	if perSecond == p.perSecond {
 		return false
@@ -48,7 +69,7 @@
 // Lift removes the limit and reports whether there was one.
 func (p *Pacer) Lift() bool {
 	limited := p.perSecond > 0
-	*p = Pacer{}
+	*p = Pacer{heard: true}
 	return limited
 }
 
--- a/coordination/pacer/pacer_test.go
+++ b/coordination/pacer/pacer_test.go
@@ -51,6 +51,51 @@
 	})
 }
 
+// TestRecalledLimits guards against a limit that a restart forgets, and against one of an earlier
+// process that outlasts what the server has shown since.
+func TestRecalledLimits(t *testing.T) {
+	requireLimit := func(t *testing.T, pace *pacer.Pacer, want float64) {
+		t.Helper()
+		require.InDelta(t, want, pace.Limit(), 0)
+	}
+	t.Run("FromTheFirstRequestOn", func(t *testing.T) {
+		pace := &pacer.Pacer{}
+		require.True(t, pace.Recall(at(time.Hour), 2))
+		require.False(t, pace.Take(at(time.Hour)))
+		require.True(t, pace.Take(at(time.Hour+time.Second)))
+	})
+	t.Run("TheLowestOfSeveral", func(t *testing.T) {
+		pace := &pacer.Pacer{}
+		require.True(t, pace.Recall(at(0), 3))
+		require.True(t, pace.Recall(at(0), 2))
+		require.False(t, pace.Recall(at(0), 4))
+		requireLimit(t, pace, 2)
+	})
+	t.Run("NotAfterAnAnswer", func(t *testing.T) {
+		pace := &pacer.Pacer{}
+		pace.Recall(at(0), 2)
+		require.True(t, pace.SetLimit(at(time.Second), 5))
+		require.False(t, pace.Recall(at(time.Second), 1))
+		requireLimit(t, pace, 5)
+		require.True(t, pace.Lift())
+		require.False(t, pace.Recall(at(time.Second), 1))
+		requireLimit(t, pace, 0)
+	})
+	t.Run("NotAfterAnAnswerThatNamesTheSame", func(t *testing.T) {
+		pace := &pacer.Pacer{}
+		pace.Recall(at(0), 2)
+		require.False(t, pace.SetLimit(at(time.Second), 2))
+		require.False(t, pace.Recall(at(time.Second), 1))
+	})
+	t.Run("NoRate", func(t *testing.T) {
+		pace := &pacer.Pacer{}
+		for _, odd := range []float64{math.NaN(), math.Inf(1), -1} {
+			require.False(t, pace.Recall(at(0), odd))
+		}
+		requireLimit(t, pace, 0)
+	})
+}
+
 func TestPacer(t *testing.T) {
 	t.Run("NoLimit", func(t *testing.T) {
 		pace := &pacer.Pacer{}
--- a/coordination/witness/witness.go
+++ b/coordination/witness/witness.go
@@ -13,10 +13,28 @@
 // ended, and all announcements that it sent before have arrived.
 const departureLifetime = 10 * time.Minute
 
+// limitLifetime is how long a limit is remembered that no answer has named again. A server with a
+// limit gets a request every few seconds at least, which another process has then passed on.
+const limitLifetime = 30 * time.Second
+
+// Limit is the number of requests a second that one run of a backend server takes. The zero
+// value is no limit.
+type Limit struct {
+	// ID names the server, and StartedMs is the Unix time of the run's start in milliseconds.
+	ID        string
+	StartedMs int64
+	PerSecond float64
+}
+
+// SameRun reports whether two limits are of the same run.
+func (l Limit) SameRun(other Limit) bool { return l.ID == other.ID && l.StartedMs == other.StartedMs }
+
 // Statement is what is known of a backend server by its own words. The zero value says nothing.
 type Statement struct {
 	// Departure is the last run that left.
 	Departure enroller.Departure
+	// Limit is what a run named in its last answer.
+	Limit Limit
 }
 
 // Empty reports whether the statement says nothing.
@@ -25,8 +43,8 @@
 // Memory is what a process remembers of the backend server at one address. It is immutable.
 // The zero value remembers nothing.
 type Memory struct {
-	said      Statement
-	departure source
+	said             Statement
+	departure, limit source
 }
 
 // source is where a part of a memory comes from.
@@ -52,11 +70,22 @@
 	return m
 }
 
+// WithLimit returns the memory after the process of an incarnation has passed on an answer that
+// names a limit, or that names none if the limit is the zero value.
+func (m Memory) WithLimit(limit Limit, incarnation uint64, now clocker.Instant) Memory {
+	m.said.Limit = limit
+	m.limit = source{heardAt: now.Mono, knownBy: incarnation}
+	return m
+}
+
 // WithTold returns the memory after the process of an incarnation was told a statement.
 func (m Memory) WithTold(told Statement, incarnation uint64) Memory {
 	if told.Departure.SameRun(m.said.Departure) {
 		m.departure.knownBy = incarnation
 	}
+	if told.Limit == m.said.Limit {
+		m.limit.knownBy = incarnation
+	}
 	return m
 }
 
@@ -66,6 +95,9 @@
 	if m.departure.knownBy == incarnation {
 		said.Departure = enroller.Departure{}
 	}
+	if m.limit.knownBy == incarnation {
+		said.Limit = Limit{}
+	}
 	return said
 }
 
@@ -81,5 +113,8 @@
 	if now.Mono-m.departure.heardAt > departureLifetime {
 		said.Departure = enroller.Departure{}
 	}
+	if now.Mono-m.limit.heardAt > limitLifetime {
+		said.Limit = Limit{}
+	}
 	return said
 }
--- a/coordination/witness/witness_test.go
+++ b/coordination/witness/witness_test.go
@@ -86,6 +86,46 @@
 	})
 }
 
+// TestSuccessorsAreToldOfLimits guards against a process that succeeds a killed one and gives its
+// server far more requests than the limit that it named.
+func TestSuccessorsAreToldOfLimits(t *testing.T) {
+	limit := witness.Limit{ID: "a", StartedMs: epoch, PerSecond: 2}
+	heard := witness.Memory{}.WithLimit(limit, first, at(2*time.Second))
+	requireTold := func(t *testing.T, m witness.Memory, incarnation uint64, want witness.Limit) {
+		t.Helper()
+		require.Equal(t, want, m.UnknownTo(incarnation, at(3*time.Second)).Limit)
+	}
+	t.Run("EachOneUntilItIsTold", func(t *testing.T) {
+		told := heard.WithTold(witness.Statement{Limit: limit}, second)
+		requireTold(t, heard, first, witness.Limit{})
+		requireTold(t, heard, second, limit)
+		requireTold(t, told, second, witness.Limit{})
+		requireTold(t, told, third, limit)
+	})
+	t.Run("ChangedMeanwhile", func(t *testing.T) {
+		changed := limit
+		changed.PerSecond = 1
+		m := heard.WithLimit(changed, first, at(3*time.Second)).WithTold(witness.Statement{Limit: limit}, second)
+		requireTold(t, m, second, changed)
+	})
+	t.Run("Lifted", func(t *testing.T) {
+		m := heard.WithLimit(witness.Limit{}, second, at(3*time.Second))
+		requireTold(t, m, third, witness.Limit{})
+		require.True(t, m.Empty(at(3*time.Second)))
+	})
+	t.Run("BesideADeparture", func(t *testing.T) {
+		m := heard.WithDeparture(left, second, at(3*time.Second))
+		require.Equal(t, witness.Statement{Limit: limit}, m.UnknownTo(second, at(3*time.Second)))
+		require.Equal(t, witness.Statement{Departure: left}, m.UnknownTo(first, at(3*time.Second)))
+		require.Equal(t, witness.Statement{Departure: left, Limit: limit}, m.UnknownTo(third, at(3*time.Second)))
+		require.Equal(t, left, m.WithLimit(witness.Limit{}, second, at(3*time.Second)).UnknownTo(third, at(3*time.Second)).Departure)
+	})
+	t.Run("UntilItExpires", func(t *testing.T) {
+		require.Equal(t, limit, heard.UnknownTo(second, at(20*time.Second)).Limit)
+		require.True(t, heard.Empty(at(time.Minute)))
+	})
+}
+
 // TestWitnessesOutliveTheStore plays kills of the process beside a server, late announcements
 // and the server's next run in any order while the store keeps nothing. Once an answer has
 // said that a run leaves, a request that carries what its sender knows finds the run in service
--- a/transport/converter/converter.go
+++ b/transport/converter/converter.go
@@ -109,6 +109,10 @@
 		LeftRun:          said.Departure.ID,
 		LeftRunStartedMs: said.Departure.StartedMs,
 		LeftMs:           said.Departure.LeftMs,
+
+		LimitedRun:          said.Limit.ID,
+		LimitedRunStartedMs: said.Limit.StartedMs,
+		PerSecond:           said.Limit.PerSecond,
 	}
 }
 
@@ -118,6 +122,9 @@
 		Departure: enroller.Departure{
 			ID: message.GetLeftRun(), StartedMs: message.GetLeftRunStartedMs(), LeftMs: message.GetLeftMs(),
 		},
+		Limit: witness.Limit{
+			ID: message.GetLimitedRun(), StartedMs: message.GetLimitedRunStartedMs(), PerSecond: finite(message.GetPerSecond()),
+		},
 	}
 }
 
--- a/transport/converter/converter_test.go
+++ b/transport/converter/converter_test.go
@@ -30,7 +30,10 @@
 }
 
 func TestStatementRoundTrips(t *testing.T) {
-	want := witness.Statement{Departure: enroller.Departure{ID: "a", StartedMs: 3, LeftMs: 5}}
+	want := witness.Statement{
+		Departure: enroller.Departure{ID: "a", StartedMs: 3, LeftMs: 5},
+		Limit:     witness.Limit{ID: "b", StartedMs: 7, PerSecond: 0.5},
+	}
 	require.Equal(t, want, converter.StatementFromProto(converter.StatementToProto(want)))
 	message := gossiper.Message{Changes: []registrar.Member{}, Warnings: []warner.Warning{}, Own: want, Heard: want}
 	require.Equal(t, message, converter.GossipFromProto(converter.GossipToProto(message)))
--- a/transport/guard/announcement.go
+++ b/transport/guard/announcement.go
@@ -86,7 +86,8 @@
 	}
 	now := g.deps.Now()
 	g.lastHeard = now
-	renewed := g.controller.Present() && announcement.sameRun(g.lastAnnouncement)
+	sameRun := announcement.sameRun(g.lastAnnouncement)
+	renewed := g.controller.Present() && sameRun
 	if renewed && announcement.BackendServer == "" {
 		server.ColdStart = g.server.ColdStart
 	}
@@ -97,7 +98,10 @@
 	}
 	g.forwarder.SetAddress(announcement.Address)
 	g.admitter.Breaker = breaker.New(g.policy.FailurePause)
-	g.admitter.Pacer = &pacer.Pacer{}
+	if !sameRun {
+		g.admitter.Pacer = &pacer.Pacer{}
+	}
+	g.applyRecalledLimit()
 	if err := g.controller.Announce(now, g.controllerConfig()); err != nil {
 		return false, fmt.Errorf("starting a new run: %w", err)
 	}
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -103,6 +103,9 @@
 	lastEnded        clocker.Instant
 	startedAt        clocker.Instant
 	lastAnnouncement Announcement
+	// recalledLimit is what another process last told that a run had named to an earlier
+	// process here.
+	recalledLimit witness.Limit
 	// lastHeard is the time of the last announcement or successful response.
 	lastHeard clocker.Instant
 	service   cataloger.Service
--- a/transport/guard/statement.go
+++ b/transport/guard/statement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/foxtailhall/foxtailhall/coordination/witness"
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/protocol/messenger"
 	"github.com/foxtailhall/foxtailhall/transport/converter"
@@ -16,6 +17,9 @@
 		return
 	}
 	g.recordLimit(work, info)
+	if info.Limited {
+		work.said.Limit = witness.Limit{ID: work.run, StartedMs: work.runStartedMs, PerSecond: info.Limit}
+	}
 	if info.Leaving {
 		work.said.Departure = g.deps.OnLeaving(work.run, work.runStartedMs)
 	}
@@ -45,6 +49,30 @@
 	}
 }
 
+// RecallLimit applies the limit that a run named to an earlier process, at once or when the run
+// is announced. An answer of the run goes first.
+func (g *Guard) RecallLimit(limit witness.Limit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if limit.SameRun(g.recalledLimit) {
+		limit.PerSecond = min(limit.PerSecond, g.recalledLimit.PerSecond)
+	}
+	g.recalledLimit = limit
+	g.applyRecalledLimit()
+}
+
+// applyRecalledLimit applies the recalled limit if it is of the current run. The caller holds
+// the lock.
+func (g *Guard) applyRecalledLimit() {
+	limit := g.recalledLimit
+	if limit.ID == "" || limit.ID != g.lastAnnouncement.Run || limit.StartedMs != g.lastAnnouncement.StartedMs {
+		return
+	}
+	if g.admitter.Pacer.Recall(g.deps.Now(), limit.PerSecond) {
+		g.deps.Log.Info("ServerLimitRecalled", "Run", limit.ID, "PerSecond", limit.PerSecond)
+	}
+}
+
 // limitWait returns the time until the server's own limit lets it take another request.
 func (g *Guard) limitWait() time.Duration {
 	g.mu.Lock()
--- a/transport/guard/statement_test.go
+++ b/transport/guard/statement_test.go
@@ -31,6 +31,7 @@
 // guard's clock advances with each attempt.
 type needyServer struct {
 	guard *guard.Guard
+	url   string
 	clock atomic.Int64
 	// limit is the value of the header X-Limit, "" for none.
 	limit    atomic.Value
@@ -137,7 +138,8 @@
 			},
 		},
 	})
-	s.announce(t, served.URL, "first")
+	s.url = served.URL
+	s.announce(t, s.url, "first")
 	return s
 }
 
@@ -247,6 +249,48 @@
 	})
 }
 
+// TestRecalledLimitsHoldForTheirRun guards against a limit that is forgotten by a restart, or
+// while the server does not count as present, and against one that outlasts its run.
+func TestRecalledLimitsHoldForTheirRun(t *testing.T) {
+	limit := witness.Limit{ID: "second", PerSecond: 2}
+	served := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(served.Close)
+	requireLimited := func(t *testing.T, s *needyServer) {
+		t.Helper()
+		end := s.attempt(t, time.Millisecond)
+		require.NotNil(t, end.refused)
+		require.Equal(t, "Limited", end.refused.Reason)
+	}
+	t.Run("ToldBeforeItIsAnnounced", func(t *testing.T) {
+		s := newNeedyServer(t)
+		s.guard.RecallLimit(limit)
+		require.True(t, s.attempt(t, time.Millisecond).answered, "another run is in service")
+		s.announce(t, served.URL, "second")
+		requireLimited(t, s)
+		s.announce(t, served.URL, "third")
+		require.True(t, s.attempt(t, time.Millisecond).answered)
+	})
+	t.Run("ToldAfterwards", func(t *testing.T) {
+		s := newNeedyServer(t)
+		s.announce(t, served.URL, "second")
+		s.guard.RecallLimit(limit)
+		requireLimited(t, s)
+		require.True(t, s.attempt(t, time.Second).answered)
+		require.True(t, s.attempt(t, time.Millisecond).answered, "an answer names no limit")
+		s.guard.RecallLimit(limit)
+		require.True(t, s.attempt(t, time.Millisecond).answered)
+	})
+	t.Run("AnnouncedAgainAfterASilence", func(t *testing.T) {
+		s := newNeedyServer(t)
+		s.limit.Store("2")
+		require.True(t, s.attempt(t, time.Millisecond).answered)
+		require.NoError(t, s.guard.Retire("first"))
+		s.guard.Tick(func(string) uint32 { return 8 })
+		s.announce(t, s.url, "first")
+		requireLimited(t, s)
+	})
+}
+
 // TestLeavingAnswersAreReported guards against new work for a server that says in its
 // answers that it leaves.
 func TestLeavingAnswersAreReported(t *testing.T) {
@@ -254,8 +298,11 @@
 	s.attempt(t, time.Millisecond)
 	require.Empty(t, s.left)
 	s.leaving.Store(true)
+	s.limit.Store("2")
 	end := s.attempt(t, time.Millisecond)
 	require.True(t, end.answered, "the answer itself is passed on")
+	require.Equal(t, "first", end.head.Statement.GetLimitedRun())
+	require.InDelta(t, 2, end.head.Statement.GetPerSecond(), 0)
 	require.Equal(t, []string{"first"}, s.left)
 	require.Equal(t, "first", end.head.Statement.GetLeftRun(), "its router learns it")
 	require.EqualValues(t, leftMs, end.head.Statement.GetLeftMs())
--- a/transport/rememberer/rememberer.go
+++ b/transport/rememberer/rememberer.go
@@ -36,20 +36,37 @@
 	return &Rememberer{now: now, log: log, memories: map[string]memory{}}
 }
 
+// HearAnswer records what the server beside a process said of itself in an answer. An answer
+// without a limit lifts the last one.
+func (r *Rememberer) HearAnswer(process registrar.Member, said witness.Statement) {
+	r.hear(process, said, true)
+}
+
 // Hear records a statement of the server beside a process, which knows it.
 func (r *Rememberer) Hear(process registrar.Member, said witness.Statement) {
-	if r == nil || said.Empty() {
+	r.hear(process, said, said.Limit.ID != "")
+}
+
+func (r *Rememberer) hear(process registrar.Member, said witness.Statement, limit bool) {
+	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.memories[process.Address]
+	known, ok := r.memories[process.Address]
+	if !ok && said.Empty() {
+		return
+	}
 	heard := known
 	heard.Memory = known.WithDeparture(said.Departure, process.Incarnation, r.now())
+	if limit {
+		heard.Memory = heard.WithLimit(said.Limit, process.Incarnation, r.now())
+	}
 	r.memories[process.Address] = heard
-	if before := known.Statement(); before != heard.Statement() {
-		r.log.Info("StatementHeard", "Server", process.Address, "Left", said.Departure.ID,
-			"StartedMs", said.Departure.StartedMs, "LeftMs", said.Departure.LeftMs)
+	if now := heard.Statement(); now != known.Statement() {
+		r.log.Info("StatementHeard", "Server", process.Address, "Left", now.Departure.ID,
+			"StartedMs", now.Departure.StartedMs, "LeftMs", now.Departure.LeftMs,
+			"Limited", now.Limit.ID, "PerSecond", now.Limit.PerSecond)
 	}
 }
 
@@ -80,7 +97,8 @@
 	}
 	known.Memory = known.WithTold(told, process.Incarnation)
 	r.memories[process.Address] = known
-	r.log.Info("StatementTold", "Server", process.Address, "Incarnation", process.Incarnation, "Left", told.Departure.ID)
+	r.log.Info("StatementTold", "Server", process.Address, "Incarnation", process.Incarnation,
+		"Left", told.Departure.ID, "Limited", told.Limit.ID, "PerSecond", told.Limit.PerSecond)
 }
 
 // Due returns the live processes of a roster that may not know what is remembered of their
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -65,12 +65,13 @@
 			if verdict.Queued {
 				continue
 			}
-			r.hear(outcome, verdict.Statement)
+			r.deps.Statements.Hear(outcome.entry.Member, converter.StatementFromProto(verdict.Statement))
 			outcome.applyVerdict(verdict)
 			return
 		}
 		if answer := frame.GetAnswer(); answer != nil {
-			r.hear(outcome, answer.Statement)
+			// The caller may be gone, or another attempt may have won: the word still counts.
+			r.deps.Statements.HearAnswer(outcome.entry.Member, converter.StatementFromProto(answer.Statement))
 			outcome.head = answer
 			r.readAnswer(request, outcome)
 			return
@@ -80,12 +81,6 @@
 	}
 }
 
-// hear records what the backend server of an attempt said of itself. It does so before any
-// other process or the caller gets the answer, and for attempts whose answer nobody wants.
-func (r *Router) hear(outcome *result, said *messenger.Statement) {
-	r.deps.Statements.Hear(outcome.entry.Member, converter.StatementFromProto(said))
-}
-
 // readAnswer reads the first bytes of an answer. A request whose answer there is no memory
 // for has run, or may have.
 func (r *Router) readAnswer(request *callerRequest, outcome *result) {
--- a/transport/router/statement_test.go
+++ b/transport/router/statement_test.go
@@ -113,6 +113,25 @@
 			r.requireCarried(t, "a")
 		})
 	}
+	t.Run("LimitUntilAnAnswerWithoutOne", func(t *testing.T) {
+		limited := &messenger.Statement{LimitedRun: "a", LimitedRunStartedMs: 3, PerSecond: 2}
+		r := newStatementRouter(frames(&messenger.AnswerHead{Status: 200, Length: 4, Statement: limited}, "body"))
+		requireLimit := func(incarnation uint64, want float64) {
+			t.Helper()
+			r.attempt(context.Background(), incarnation)
+			require.InDelta(t, want, r.guard.heads[len(r.guard.heads)-1].Statement.GetPerSecond(), 0)
+		}
+		requireLimit(1, 0)
+		requireLimit(2, 2)
+		requireLimit(2, 0)
+		r.guard.frames = []*messenger.Frame{{Part: &messenger.Frame_Verdict{Verdict: &messenger.Verdict{
+			Outcome: uint32(answerer.OutcomeNotRun), Reason: "Busy", Busy: true,
+		}}}}
+		requireLimit(3, 2)
+		r.guard.frames = frames(&messenger.AnswerHead{Status: 200, Length: 4}, "body")
+		requireLimit(4, 2)
+		requireLimit(5, 0)
+	})
 	t.Run("UnansweredAttempt", func(t *testing.T) {
 		r := newStatementRouter(frames(&messenger.AnswerHead{Status: 200, Length: 4, Statement: left}, "body"))
 		r.attempt(context.Background(), 1)
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -239,6 +239,9 @@
 	if r.deps.Source != nil && said.Departure.ID != "" {
 		r.learnLeft("DepartureTold", said.Departure)
 	}
+	if said.Limit.ID != "" {
+		r.guard.RecallLimit(said.Limit)
+	}
 }
 
 // learnLeft applies a departure that was learned in another way than by an announcement or
