soaker: draw servers that say only in their answers that they leave

The soak's servers announced their leave, or deregistered, and their processes were killed once that was acknowledged. Now a server may say so in its answers alone, while the announcements that it sent before arrive up to 3.8 s late and those of its leave 5 s late. Its process is killed 0, 20, 100 or 500 ms after a caller got such an answer, and twice more.

--- a/proofs/leaving_answers_test.go
+++ b/proofs/leaving_answers_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/foxtailhall/foxtailhall/standins/responder"
 	"github.com/foxtailhall/foxtailhall/standins/storer"
 )
 
@@ -19,7 +18,7 @@
 // them says so to a caller.
 func (f *leavingFleet) sayLeaving() {
 	f.t.Helper()
-	f.server.SetFault(responder.Fault{NoHeartbeats: true, SaysLeaving: true})
+	f.server.SetLeavingAnswers(true)
 	require.Equal(f.t, http.StatusOK, f.write(), "the answer that says that the server leaves")
 }
 
@@ -137,7 +136,7 @@
 	f.kill(0)
 	f.store.SetFault(storer.Fault{NoEra: true})
 	f.start(0)
-	f.server.SetFault(responder.Fault{NoHeartbeats: true})
+	f.server.SetLeavingAnswers(false)
 	f.bornMs = time.Now().UnixMilli()
 	require.Equal(t, http.StatusOK, f.announce("ready", 1))
 	began := time.Now()
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -20,6 +20,7 @@
 	{1, "none; this seed always runs"},
 	{203, "a drained process cut off requests that arrived while it announced its departure to the fleet"},
 	{300, "same as 203"},
+	{59, "a server that said in its answers that it leaves got requests after its process was killed"},
 }
 
 // TestSoak runs short soak tests against the stand-ins of the users' platform.
--- a/standins/responder/responder.go
+++ b/standins/responder/responder.go
@@ -31,7 +31,10 @@
 	heartbeatTimeout = time.Second
 	// maxHeartbeatDelay bounds the delay of late heartbeats.
 	maxHeartbeatDelay = 3 * time.Second
-	maxBodyBytes      = 64 << 20
+	// maxLeaveDelay is the delay of the heartbeats of a server that says only in its answers
+	// that it leaves.
+	maxLeaveDelay = 5 * time.Second
+	maxBodyBytes  = 64 << 20
 	// maxAcknowledgementBytes bounds the answer to a heartbeat.
 	maxAcknowledgementBytes = 4 << 10
 )
@@ -51,10 +54,9 @@
 	SlowFactor float64
 	// NoHeartbeats stops the heartbeats.
 	NoHeartbeats bool
-	// SaysLeaving makes the server say in all answers that it leaves, and Limit, if it is not
-	// empty, how many requests a second it takes.
-	SaysLeaving bool
-	Limit       string
+	// Limit is how many requests a second the server says in all answers that it takes, if it
+	// is not empty.
+	Limit string
 }
 
 // Options configure a server.
@@ -115,8 +117,12 @@
 	fault    Fault
 	draining bool
 	// deregistering is set if the server leaves by a deregistration.
-	deregistering     bool
+	deregistering bool
+	// leavingAnswers is set while the server says in all answers that it leaves.
+	leavingAnswers    bool
 	heartbeatSequence uint64
+	// heartbeatsLate is set once all heartbeats arrive late.
+	heartbeatsLate bool
 	// leaveAcknowledged is when the proxy process first acknowledged that the server
 	// leaves.
 	leaveAcknowledged time.Time
@@ -182,6 +188,24 @@
 	r.deregistering = true
 }
 
+// SetLeavingAnswers makes the server say in its answers that it leaves, or not to do so.
+func (r *Responder) SetLeavingAnswers(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leavingAnswers = leaving
+}
+
+// LeaveWithLateHeartbeats makes the server say in its answers that it leaves, while its last
+// heartbeats from before that arrive after the given times, and all later ones even later.
+func (r *Responder) LeaveWithLateHeartbeats(times []time.Duration) {
+	for _, delay := range times {
+		r.sendHeartbeat(delay)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leavingAnswers, r.draining, r.heartbeatsLate = true, true, true
+}
+
 // LeaveAcknowledged returns when the proxy process first acknowledged that the server
 // leaves, or the zero time if it has not.
 func (r *Responder) LeaveAcknowledged() time.Time {
@@ -190,10 +214,11 @@
 	return r.leaveAcknowledged
 }
 
-func (r *Responder) currentFault() Fault {
+// currentFault returns the fault in force, and whether answers say that the server leaves.
+func (r *Responder) currentFault() (fault Fault, leaving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fault
+	return r.fault, r.leavingAnswers
 }
 
 // sendHeartbeats sends heartbeats until the context is cancelled.
@@ -201,8 +226,8 @@
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 	for {
-		if !r.currentFault().NoHeartbeats {
-			r.sendHeartbeat()
+		if fault, _ := r.currentFault(); !fault.NoHeartbeats {
+			r.sendHeartbeat(0)
 		}
 		select {
 		case <-ctx.Done():
@@ -212,9 +237,10 @@
 	}
 }
 
-// sendHeartbeat sends one heartbeat, at once or late, or the deregistration of a server
-// that leaves so. Errors are ignored: the next call follows after heartbeatPeriod.
-func (r *Responder) sendHeartbeat() {
+// sendHeartbeat sends one heartbeat, or the deregistration of a server that leaves so, which
+// arrives after a delay, at once or late. Errors are ignored: the next call follows after
+// heartbeatPeriod.
+func (r *Responder) sendHeartbeat(delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leaveAcknowledged.IsZero() && r.deregistering {
@@ -240,8 +266,10 @@
 	if err != nil {
 		return
 	}
-	delay := time.Duration(0)
-	if rand.Float64() < r.options.LateShare {
+	switch {
+	case r.heartbeatsLate:
+		delay = maxLeaveDelay
+	case delay == 0 && rand.Float64() < r.options.LateShare:
 		delay = time.Duration(rand.Int64N(int64(maxHeartbeatDelay)))
 	}
 	leaving := r.draining || r.deregistering
@@ -280,9 +308,9 @@
 		c.SetStatusCode(http.StatusMisdirectedRequest)
 		return
 	}
-	fault := r.currentFault()
+	fault, leaving := r.currentFault()
 	c.Response.Header.Set(HeaderAnsweredBy, r.options.ID)
-	if fault.SaysLeaving {
+	if leaving {
 		c.Response.Header.Set(HeaderLeaving, "1")
 	}
 	if fault.Limit != "" {
--- a/standins/soaker/callers.go
+++ b/standins/soaker/callers.go
@@ -147,6 +147,8 @@
 	got.Status = response.StatusCode
 	got.BodyRead = err == nil
 	got.SealMatches = response.Header.Get("Foxtailhall-Response-Seal") == responder.Seal(got.ID)
+	got.Server = response.Header.Get(responder.HeaderAnsweredBy)
+	got.SaysLeaving = response.Header.Get(responder.HeaderLeaving) != ""
 	got.Garbled = response.Header.Get(responder.HeaderGarbled) != ""
 	got.KeyShown = strings.Contains(fmt.Sprint(response.Header, string(text)), responder.KeyPrefix)
 	got.BodyMatches = string(text) == responder.Body(got.ID, len(body))
--- a/standins/soaker/checker.go
+++ b/standins/soaker/checker.go
@@ -26,6 +26,10 @@
 	BodyMatches bool
 	// BodyRead reports whether the whole body was read without an error.
 	BodyRead bool
+	// Server is the ID of the server that answered, and SaysLeaving reports whether it says that
+	// it leaves.
+	Server      string
+	SaysLeaving bool
 	// Garbled reports whether the answer is one that the server garbled.
 	Garbled bool
 	// KeyShown reports whether the answer contains a customer's key.
@@ -43,13 +47,16 @@
 	failures []string
 	// violations counts all violations by guarantee.
 	violations map[string]int
+	// leaving holds when each VM first passed on an answer which says that its server leaves, by
+	// the ID of the server.
+	leaving map[string]map[int]time.Time
 }
 
 // maxFailures is the number of failures that are kept per guarantee.
 const maxFailures = 20
 
 func newChecker() *checker {
-	return &checker{runs: map[string][]responder.Run{}, violations: map[string]int{}}
+	return &checker{runs: map[string][]responder.Run{}, violations: map[string]int{}, leaving: map[string]map[int]time.Time{}}
 }
 
 // recordRun records that a server started to execute a request, and checks that a
@@ -85,6 +92,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answers = append(c.answers, got)
+	if got.SaysLeaving {
+		c.recordLeavingLocked(got)
+	}
 	if got.KeyShown {
 		c.addViolationLocked("KeyInAnswer", fmt.Sprintf("%s: the answer contains a key", got.ID))
 	}
@@ -108,6 +118,7 @@
 	for _, server := range f.drainedServers() {
 		c.checkDrained(server)
 	}
+	c.checkLeavingAnswers(f)
 	c.checkVersions(f)
 	c.checkRevocations(f)
 	c.checkQuotas(f)
--- a/standins/soaker/fleet.go
+++ b/standins/soaker/fleet.go
@@ -103,6 +103,9 @@
 	f := &fleet{options: options, checker: c, customers: drawCustomers(options.Seed, requestRate)}
 	f.faults.active = map[int]storer.Fault{}
 	f.store = storer.New(storeAddress(options.Network))
+	if options.Plan == nil && namesNoEra(options.Seed) {
+		f.applyStoreFault(storer.Fault{NoEra: true})
+	}
 	for i := range options.VMs {
 		ip := f.ip(i + 1)
 		f.vms = append(f.vms, &vm{
@@ -314,6 +317,42 @@
 	f.endServer(ctx, old, v)
 }
 
+// sayLeavingAndKill makes the VM's backend server say in its answers that it leaves, while its
+// announcements are late. The process is killed a while after a caller got such an answer, and
+// twice again after a server that is taken for a new one would have got requests. The server is
+// replaced after that.
+func (f *fleet) sayLeavingAndKill(ctx context.Context, v *vm, killDelay time.Duration) {
+	old := v.beginReplacement()
+	if old == nil {
+		return
+	}
+	end := time.Now().Add(leaveDuration)
+	old.LeaveWithLateHeartbeats(lateHeartbeatTimes)
+	for !f.checker.saidLeaving(old.ID()) && time.Now().Before(end) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(killDelay)
+	v.kill()
+	for _, after := range laterKills {
+		time.Sleep(after)
+		v.kill()
+	}
+	time.Sleep(time.Until(end))
+	f.endServer(ctx, old, v)
+}
+
+var (
+	// laterKills are the times from each kill to the next one in sayLeavingAndKill. The first is as
+	// long as a server may still get requests after it said that it leaves.
+	laterKills = []time.Duration{maxDrainDelay, time.Second}
+	// lateHeartbeatTimes are how long the last heartbeats take to arrive that a server sent before
+	// its answers said that it leaves: some arrive at each of the processes in turn.
+	lateHeartbeatTimes = []time.Duration{
+		500 * time.Millisecond, time.Second, 2400 * time.Millisecond, 2800 * time.Millisecond,
+		3400 * time.Millisecond, 3800 * time.Millisecond,
+	}
+)
+
 // leaveDuration is how long a server keeps running after it starts to leave in leaveAndKill.
 const leaveDuration = 6 * time.Second
 
--- a/standins/soaker/plan.go
+++ b/standins/soaker/plan.go
@@ -41,9 +41,10 @@
 	KindPublish          Kind = "Publish"
 	KindStoreLateWrites  Kind = "StoreLateWrites"
 	KindStoreOlder       Kind = "StoreOlder"
+	KindSayLeaving       Kind = "ServerSaysItLeaves"
 )
 
-// kinds are the kinds that a plan draws from; silences and garbled answers are drawn separately,
+// kinds are the kinds that a plan draws from; silences, garbled answers and leaves are drawn separately,
 // so that a seed still draws the events that it drew before there were any.
 var kinds = []Kind{
 	KindKill, KindPause, KindStop, KindReload, KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLostReplies,
@@ -99,6 +100,7 @@
 		plan = append(plan, drawGarbled(seed, activeTime, vms)...)
 	}
 	plan = append(plan, drawLeaves(seed, activeTime, vms)...)
+	plan = append(plan, drawLeavingAnswers(seed, activeTime, vms)...)
 	plan = append(plan, drawStoreFaults(seed, activeTime)...)
 	if hasCustomers(seed) {
 		plan = append(plan, drawKeyChanges(seed, activeTime)...)
@@ -111,6 +113,10 @@
 // Time limits apply to undisturbed VMs only, of which a mixed plan leaves few.
 func onlyStoreFaults(seed uint64) bool { return seed%5 == 4 }
 
+// namesNoEra reports whether the store of a seed names no era and never comes back older. A process
+// that starts beside it trusts what it reads at once.
+func namesNoEra(seed uint64) bool { return seed%7 == 3 }
+
 // drawMixed draws events of all kinds.
 func drawMixed(seed uint64, activeTime time.Duration, vms int) Plan {
 	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // plans must repeat
@@ -176,6 +182,9 @@
 	faults := make(Plan, 0, count*(1+publicationsPerFault))
 	for range count {
 		kind := []Kind{KindStoreOlder, KindStoreSilent, KindStoreLateWrites}[random.IntN(3)]
+		if kind == KindStoreOlder && namesNoEra(seed) {
+			kind = KindStoreSilent
+		}
 		at := time.Duration(random.Int64N(int64(activeTime)))
 		length := min(time.Duration(random.Int64N(int64(maxEventLength))), activeTime-at)
 		faults = append(faults, Event{At: at, Length: length, Kind: kind, VM: random.IntN(len(rewrites))})
@@ -207,6 +216,27 @@
 	return leaves
 }
 
+// leavingAnswersPerSecond is the mean rate of leaves that only answers tell in time.
+const leavingAnswersPerSecond = 0.25
+
+// killDelays are the times from the first answer that says that its server leaves to the kill of
+// the process beside it.
+var killDelays = []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
+
+// drawLeavingAnswers draws the events in which a server says in its answers that it leaves, while
+// its announcements are late, and its process is killed after that.
+func drawLeavingAnswers(seed uint64, activeTime time.Duration, vms int) Plan {
+	random := rand.New(rand.NewPCG(seed+2, ^seed)) //nolint:gosec // plans must repeat
+	count := int(leavingAnswersPerSecond * activeTime.Seconds())
+	leaves := make(Plan, 0, count)
+	for range count {
+		at := time.Duration(random.Int64N(int64(activeTime - leaveDuration)))
+		delay := killDelays[random.IntN(len(killDelays))]
+		leaves = append(leaves, Event{At: at, Length: delay, Kind: KindSayLeaving, VM: random.IntN(vms)})
+	}
+	return leaves
+}
+
 // keyChangesPerSecond is the mean rate of further versions in runs with customers.
 const keyChangesPerSecond = 0.4
 
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -203,6 +203,8 @@
 		go f.replaceServer(ctx, v)
 	case KindLeaveAndKill:
 		go f.leaveAndKill(ctx, v, event.Length)
+	case KindSayLeaving:
+		go f.sayLeavingAndKill(ctx, v, event.Length)
 	case KindCutOneWay, KindCutBoth, KindReset, KindSilence, KindDelay:
 		return f.injectLinkFault(event, v)
 	case KindErrors, KindShed, KindSlow, KindLostAnswers, KindGarbled, KindNoHeartbeats:
--- a/standins/soaker/versions.go
+++ b/standins/soaker/versions.go
@@ -57,7 +57,7 @@
 		return e.VM, stopLimit + restartDelay, true
 	case KindSilence:
 		return e.VM, silenceDetected, true
-	case KindLeaveAndKill:
+	case KindLeaveAndKill, KindSayLeaving:
 		return e.VM, leaveDuration + restartDelay, true
 	case KindKill, KindPause, KindCutOneWay, KindCutBoth, KindReset, KindDelay:
 		return e.VM, e.Length + restartDelay, true
