--- a/standins/soaker/checker_test.go
+++ b/standins/soaker/checker_test.go
@@ -63,8 +63,10 @@
 	requireViolations(t, 2, 2500*time.Millisecond, calm, 0)
 	killed := &fleet{vms: []*vm{{}, {crashes: []time.Time{at(time.Second)}}}}
 	requireViolations(t, 1, 2500*time.Millisecond, killed, 0)
-	paused := &fleet{vms: calm.vms, disturbances: []disturbance{{kind: KindPause, vm: 1, from: at(time.Second), to: at(2 * time.Second)}}}
-	requireViolations(t, 1, 2500*time.Millisecond, paused, 0)
-	cut := &fleet{vms: calm.vms, disturbances: []disturbance{{kind: KindCutBoth, vm: 1, from: at(time.Second), to: at(2 * time.Second)}}}
-	requireViolations(t, 1, 2500*time.Millisecond, cut, 1)
+	disturbed := func(kind Kind) *fleet {
+		during := disturbance{kind: kind, vm: 1, from: at(time.Second), to: at(2 * time.Second)}
+		return &fleet{vms: calm.vms, disturbances: []disturbance{during}}
+	}
+	requireViolations(t, 1, 2500*time.Millisecond, disturbed(KindPause), 0)
+	requireViolations(t, 1, 2500*time.Millisecond, disturbed(KindCutBoth), 1)
 }
