proofs: restart a process that could not acknowledge a leave

A server announced its leave while the store was away: the process took it out of service, answered 503 and was killed. Its successor read from the store, which was back, that no run had left, and a late announcement put the server into service: on in all three ways to announce a leave. The networks of the new tests no longer overlap with those of TestEndless.

--- a/proofs/leaving_answers_test.go
+++ b/proofs/leaving_answers_test.go
@@ -56,7 +56,7 @@
 // 1 has passed the answer on.
 func TestLeavingAnswersOutliveTheProcess(t *testing.T) {
 	t.Run("KilledOnceTheStoreHasIt", func(t *testing.T) {
-		f := startTrustingFleet(t, 144)
+		f := startTrustingFleet(t, 160)
 		last := f.putInService(0)
 		f.sayLeaving()
 		time.Sleep(storeTime)
@@ -70,7 +70,7 @@
 	})
 	for i, after := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond} {
 		t.Run(fmt.Sprintf("Killed%sLaterBeforeTheStoreHasIt", after), func(t *testing.T) {
-			f := startTrustingFleet(t, 145+i)
+			f := startTrustingFleet(t, 161+i)
 			last := f.putInService(0)
 			f.store.SetFault(storer.Fault{NoEra: true, Delay: storeTime})
 			f.sayLeaving()
@@ -81,7 +81,7 @@
 		})
 	}
 	t.Run("TwoKillsInARow", func(t *testing.T) {
-		f := startTrustingFleet(t, 148)
+		f := startTrustingFleet(t, 164)
 		last := f.putInService(0)
 		f.store.SetFault(storer.Fault{NoEra: true, Delay: storeTime})
 		f.sayLeaving()
@@ -94,7 +94,7 @@
 	})
 	for i, fault := range []storer.Fault{{Silent: true}, {Down: true}, {Delay: storeTime}} {
 		t.Run(fmt.Sprintf("StoreFault%d", i), func(t *testing.T) {
-			f := startTrustingFleet(t, 149+i)
+			f := startTrustingFleet(t, 165+i)
 			last := f.putInService(0)
 			fault.NoEra = true
 			f.store.SetFault(fault)
@@ -107,7 +107,7 @@
 		})
 	}
 	t.Run("OlderStore", func(t *testing.T) {
-		f := startTrustingFleet(t, 152)
+		f := startTrustingFleet(t, 168)
 		last := f.putInService(0)
 		f.sayLeaving()
 		time.Sleep(storeTime)
@@ -117,7 +117,7 @@
 		f.restartWithLateAnnouncements(last)
 	})
 	t.Run("Paused", func(t *testing.T) {
-		f := startTrustingFleet(t, 153)
+		f := startTrustingFleet(t, 169)
 		last := f.putInService(0)
 		f.sayLeaving()
 		f.pause(0, 7*time.Second) // Longer than servers count as present without announcements.
@@ -126,10 +126,34 @@
 	})
 }
 
+// TestUnacknowledgedLeavesOutliveTheProcess guards against new work for a server that announced its
+// leave while the store was away, after the process that applied it was killed before it could
+// acknowledge it.
+func TestUnacknowledgedLeavesOutliveTheProcess(t *testing.T) {
+	for i, way := range []struct {
+		name  string
+		leave func(f *leavingFleet, sequence int) int
+	}{
+		{"Draining", func(f *leavingFleet, sequence int) int { return f.announce("draining", sequence) }},
+		{"LeaveNotice", func(f *leavingFleet, _ int) int { return f.deregister(fmt.Sprintf(`{"born":%d}`, f.bornMs)) }},
+		{"LeaveNoticeWithoutStart", func(f *leavingFleet, _ int) int { return f.deregister("") }},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			f := startTrustingFleet(t, 174+i)
+			last := f.putInService(0)
+			f.store.SetFault(storer.Fault{NoEra: true, Down: true})
+			require.NotEqual(t, http.StatusOK, way.leave(f, last+10))
+			f.kill(0)
+			f.store.SetFault(storer.Fault{NoEra: true})
+			f.restartWithLateAnnouncements(last)
+		})
+	}
+}
+
 // TestNextRunsAreNotHeldByLeavingAnswers guards against a next run at an address that is held
 // longer since the run before it left with an answer only.
 func TestNextRunsAreNotHeldByLeavingAnswers(t *testing.T) {
-	f := startTrustingFleet(t, 154)
+	f := startTrustingFleet(t, 170)
 	f.putInService(0)
 	f.store.SetFault(storer.Fault{NoEra: true, Delay: storeTime})
 	f.sayLeaving()
@@ -148,7 +172,7 @@
 // that its server leaves.
 func TestLeavingAnswersAreNotHeld(t *testing.T) {
 	const maxTime = 250 * time.Millisecond // Less than the store takes.
-	f := startTrustingFleet(t, 155)
+	f := startTrustingFleet(t, 171)
 	f.putInService(0)
 	f.store.SetFault(storer.Fault{NoEra: true, Silent: true})
 	began := time.Now()
--- a/proofs/limits_test.go
+++ b/proofs/limits_test.go
@@ -68,7 +68,7 @@
 // such answers on.
 func TestLimitsOutliveTheProcess(t *testing.T) {
 	t.Run("Killed", func(t *testing.T) {
-		f := startNeedyFleet(t, 156)
+		f := startNeedyFleet(t, 172)
 		last := f.putInService(0)
 		f.requireLimited("before the kill")
 		for range 2 {
@@ -80,7 +80,7 @@
 		}
 	})
 	t.Run("PausedForLongerThanTheServerCountsAsPresent", func(t *testing.T) {
-		f := startNeedyFleet(t, 157)
+		f := startNeedyFleet(t, 173)
 		last := f.putInService(0)
 		f.requireLimited("before the pause")
 		f.pause(0, 7*time.Second)
