enroller: keep an announced leave of a run before the latest one

The announced leave of a run that a later one had followed was taken for stale and acknowledged, but not kept; a process that does not know the later run, as after a kill, would take a late announcement of the one that left for news. It is kept now like one that an answer says.

TestLeavesOfUnknownRunsAreKept/AnnouncedAfterTheNextRun fails without withEarlier in WithAnnouncement.

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -144,7 +144,7 @@
 		return e, VerdictStale
 	}
 	left := clocker.Instant{Mono: now.Mono, Wall: time.Duration(departure.LeftMs) * time.Millisecond}
-	return e.WithAnnouncement(Announcement{
+	return e.enroll(Announcement{
 		ID: departure.ID, StartedMs: departure.StartedMs, Leaving: true, ReceivedAt: left,
 	})
 }
@@ -152,6 +152,15 @@
 // WithAnnouncement returns the enroller after one announcement or leave notice,
 // and the verdict on it.
 func (e Enroller) WithAnnouncement(next Announcement) (Enroller, Verdict) {
+	enrolled, verdict := e.enroll(next)
+	if verdict == VerdictStale && next.Leaving {
+		left := Departure{ID: next.ID, StartedMs: next.StartedMs, LeftMs: next.ReceivedAt.UnixMilli()}
+		enrolled = enrolled.withEarlier(left)
+	}
+	return enrolled, verdict
+}
+
+func (e Enroller) enroll(next Announcement) (Enroller, Verdict) {
 	if next.Address != "" && next.Address != e.address || implausible(next) {
 		return e, VerdictForeign
 	}
@@ -183,12 +192,22 @@
 		return e, VerdictStale
 	}
 	next, verdict := e.withRecalled(departure, now)
-	if verdict == VerdictStale && departure.Later(e.departure) {
-		next.departure = departure
+	if verdict == VerdictStale {
+		next = next.withEarlier(departure)
 	}
 	return next, verdict
 }
 
+// withEarlier returns the enroller after a run left that is earlier than the latest one, whose
+// departure is kept unless a later one is known.
+func (e Enroller) withEarlier(departure Departure) Enroller {
+	earlier := departure.StartedMs > 0 && departure.StartedMs < e.latest.StartedMs
+	if earlier && !departure.SameRun(e.departure) && departure.Later(e.departure) {
+		e.departure = departure
+	}
+	return e
+}
+
 const (
 	// maxClockSkew is how far the start of a run may lie ahead of the own clock.
 	maxClockSkew = time.Hour
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -188,6 +188,19 @@
 		requireVerdictsFrom(t, e, []enroller.Announcement{late, next, late},
 			enroller.VerdictStale, enroller.VerdictAnnounced, enroller.VerdictStale)
 	})
+	t.Run("AnnouncedAfterTheNextRun", func(t *testing.T) {
+		for _, leave := range []enroller.Announcement{
+			leaving(ready("a", 0, 8)), {ID: "a", StartedMs: epoch, Leaving: true, ReceivedAt: at(3 * time.Second)},
+		} {
+			e, _ := settled().WithAnnouncement(next)
+			e, verdict := e.WithAnnouncement(leave)
+			require.Equal(t, enroller.VerdictStale, verdict)
+			require.Equal(t, "a", e.Departure().ID, "it is acknowledged once it is kept")
+			require.Equal(t, "b", e.Latest().ID)
+			requireVerdictsFrom(t, restarted(e, at(5*time.Second)), []enroller.Announcement{late, next},
+				enroller.VerdictStale, enroller.VerdictAnnounced)
+		}
+	})
 	t.Run("Again", func(t *testing.T) {
 		e := requireLeft(t, settled(), enroller.VerdictRetired)
 		requireLeft(t, e, enroller.VerdictStale)
