--- a/proofs/leaving_answers_test.go
+++ b/proofs/leaving_answers_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,3 +181,40 @@
 	f.sayLeaving()
 	require.Less(t, time.Since(began), maxTime)
 }
+
+// TestCostOfLeavingAnswers measures, if MEASURE is set, how long callers wait for ordinary answers
+// and for the first ones which say that their server leaves, and how long the next run waits
+// for its first request.
+func TestCostOfLeavingAnswers(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("a measurement: set MEASURE")
+	}
+	const (
+		runs = 40
+		// spreadTime is more than gossip needs.
+		spreadTime = 500 * time.Millisecond
+	)
+	f := startTrustingFleet(t, 177)
+	timed := func() time.Duration {
+		began := time.Now()
+		require.Equal(t, http.StatusOK, f.write())
+		return time.Since(began)
+	}
+	nextRun, ordinary, leaving := make([]time.Duration, 0, runs), make([]time.Duration, 0, runs), make([]time.Duration, 0, runs)
+	for range runs {
+		f.server.SetLeavingAnswers(false)
+		f.bornMs++
+		time.Sleep(spreadTime)
+		began := time.Now()
+		require.Equal(t, http.StatusOK, f.announce("ready", 1))
+		require.Eventually(t, func() bool { return f.write() == http.StatusOK }, 5*time.Second, time.Millisecond)
+		nextRun = append(nextRun, time.Since(began))
+		ordinary = append(ordinary, timed())
+		f.server.SetLeavingAnswers(true)
+		leaving = append(leaving, timed())
+	}
+	for name, times := range map[string][]time.Duration{"NextRun": nextRun, "Ordinary": ordinary, "Leaving": leaving} {
+		slices.Sort(times)
+		t.Logf("%s: p50 %s, p90 %s, p99 %s", name, times[runs/2], times[runs*9/10], times[runs*99/100])
+	}
+}
