enroller: don't take the next run for one that left without a start

A leave notice that names no start, heard by a process that does not know the run, gives a departure without one. Told later by a witness, it would have retired the next run under the same ID, for good; it is ignored if that run began, or was announced, too late to be the one that left. And of servers that name no start at all, only the first run's answers could have retired it.

TestLeavesOfUnknownRunsAreKept/WithoutAStart and /OfOneRunAfterTheOtherWithoutStarts failed before.

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -187,8 +187,12 @@
 // and VerdictRetired if no later run is known and it was not known to leave. The departure of
 // an earlier run is kept as well: a process that does not know the later one may need it.
 func (e Enroller) WithLeft(departure Departure, now clocker.Instant) (Enroller, Verdict) {
-	known := e.latest.Leaving && e.latest.ID == departure.ID && e.latest.StartedMs == departure.StartedMs
-	if departure.ID == "" || known || e.departure.SameRun(departure) {
+	latest := Departure{ID: e.latest.ID, StartedMs: e.latest.StartedMs}
+	known := e.departure.SameRun(departure)
+	if latest.SameRun(departure) {
+		known = e.latest.Leaving
+	}
+	if departure.ID == "" || known || e.beganAfter(departure) {
 		return e, VerdictStale
 	}
 	next, verdict := e.withRecalled(departure, now)
@@ -198,6 +202,16 @@
 	return next, verdict
 }
 
+// beganAfter reports whether the latest run has the ID of one that left, whose start is not
+// known, and began after that. Announcements from before arrive within MaxDelay.
+func (e Enroller) beganAfter(departure Departure) bool {
+	if departure.StartedMs != 0 || departure.ID != e.latest.ID {
+		return false
+	}
+	return e.latest.StartedMs > departure.LeftMs ||
+		e.latest.ReceivedAt.UnixMilli()-departure.LeftMs > MaxDelay.Milliseconds()
+}
+
 // withEarlier returns the enroller after a run left that is earlier than the latest one, whose
 // departure is kept unless a later one is known.
 func (e Enroller) withEarlier(departure Departure) Enroller {
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -214,6 +214,33 @@
 		require.Equal(t, enroller.VerdictStale, verdict)
 		require.Equal(t, left, e.Departure())
 	})
+	t.Run("WithoutAStart", func(t *testing.T) {
+		withoutStart := enroller.Departure{ID: "a", LeftMs: epoch + 2000}
+		requireRetired := func(ready enroller.Announcement, after time.Duration, want enroller.Verdict) {
+			t.Helper()
+			ready.ReceivedAt = at(after)
+			e, verdict := settled().WithAnnouncement(ready)
+			require.Equal(t, enroller.VerdictAnnounced, verdict)
+			_, verdict = e.WithLeft(withoutStart, at(after+time.Second))
+			require.Equal(t, want.String(), verdict.String())
+		}
+		requireRetired(ready("a", 0, 7), 4*time.Second, enroller.VerdictRetired)
+		requireRetired(ready("a", 2500, 1), 4*time.Second, enroller.VerdictStale)
+		unknown := ready("a", -epoch, 1)
+		requireRetired(unknown, 4*time.Second, enroller.VerdictRetired)
+		requireRetired(unknown, 11*time.Second, enroller.VerdictStale)
+	})
+	t.Run("OfOneRunAfterTheOtherWithoutStarts", func(t *testing.T) {
+		unknown := ready("a", -epoch, 1)
+		e, _ := settled().WithAnnouncement(unknown)
+		e, verdict := e.WithLeavingAnswer("a", 0, at(2*time.Second))
+		require.Equal(t, enroller.VerdictRetired, verdict)
+		unknown.ReceivedAt = at(11 * time.Second)
+		e, verdict = e.WithAnnouncement(unknown)
+		require.Equal(t, enroller.VerdictAnnounced, verdict)
+		_, verdict = e.WithLeavingAnswer("a", 0, at(12*time.Second))
+		require.Equal(t, enroller.VerdictRetired, verdict)
+	})
 	t.Run("ImplausibleOrNone", func(t *testing.T) {
 		for _, odd := range []enroller.Departure{{}, {ID: "x", StartedMs: -1}, {ID: "x", StartedMs: 9 * epoch, LeftMs: epoch}} {
 			e, verdict := settled().WithLeft(odd, at(3*time.Second))
