builder, identifier: build one program in one place, and name its build

A target/ of an earlier build stayed in place, and nothing told so: version printed Revision=unknown and the Started line named no build.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,6 @@
 BIN := $(CURDIR)/bin
+# PROGRAM is what a deployment runs. Only the command of deploy/system.toml builds it.
+PROGRAM := $(CURDIR)/target/foxtailhall
 LINT_VERSION := v2.15.0
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 
@@ -6,8 +8,9 @@
 
 build:
 	@mkdir -p $(BIN)
-	go build -o $(BIN)/foxtailhall .
+	@rm -f $(BIN)/foxtailhall
 	go build -o $(BIN)/standins ./standins
+	$(BIN)/standins build
 
 # generate needs protoc (Debian: protobuf-compiler); its output is committed.
 generate:
@@ -30,23 +33,28 @@
 	@if [ -s KNOWN-RED.txt ]; then echo "Known red, passed over:"; cat KNOWN-RED.txt; fi
 
 clean:
-	rm -rf $(BIN) out
+	rm -rf $(BIN) out target
 
 demo: build
-	$(BIN)/standins demo --program $(BIN)/foxtailhall
+	$(BIN)/standins demo --program $(PROGRAM)
 
 # demo-own runs the demo on the program's own interface, with a log instead of a store.
 demo-own: build
 	scripts/demo-own
 
-.PHONY: mutate soak platform-page
+.PHONY: mutate soak soak-race platform-page
 
 # soak injects faults drawn from seeds into running processes. SEED is the first seed (0: the time of day),
 # RUNS the number of runs.
 SEED ?= 0
 RUNS ?= 5
 soak: build
-	$(BIN)/standins soak --program $(BIN)/foxtailhall --seed $(SEED) --runs $(RUNS)
+	$(BIN)/standins soak --program $(PROGRAM) --seed $(SEED) --runs $(RUNS)
+
+# soak-race runs the same with the race detector in the processes, which makes them several times slower.
+soak-race: build
+	$(BIN)/standins build --race out/race
+	$(BIN)/standins soak --program out/race/foxtailhall-race --folder out/soak-race --seed $(SEED) --runs $(RUNS)
 
 # prove runs the long randomized tests and all end-to-end tests in proofs/.
 prove: build
--- a/commands/run.go
+++ b/commands/run.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailhall/foxtailhall/protocol/interpreter"
 	"github.com/foxtailhall/foxtailhall/state/cataloger"
 	"github.com/foxtailhall/foxtailhall/state/loader"
+	"github.com/foxtailhall/foxtailhall/transport/identifier"
 	"github.com/foxtailhall/foxtailhall/transport/logwriter"
 	"github.com/foxtailhall/foxtailhall/transport/meter"
 	"github.com/foxtailhall/foxtailhall/transport/requester"
@@ -117,6 +118,8 @@
 func (c *runCommand) build(settings loader.Settings, log *slog.Logger) (*runner.Runner, *platform.Endpoints) {
 	deps := runner.Dependencies{
 		Settings: settings,
+		Version:  programVersion,
+		Build:    runningBuild(log),
 		Log:      log,
 		Parser:   c.deps.parser,
 		Meter:    meter.New(),
@@ -154,6 +157,19 @@
 	return process, endpoints
 }
 
+// unknownBuild is logged by a process that can't read its executable, which is no reason not to serve.
+const unknownBuild = "Unknown"
+
+// runningBuild returns the identity of the build that runs.
+func runningBuild(log *slog.Logger) string {
+	build, err := identifier.Running()
+	if err != nil {
+		log.Warn("BuildUnknown", "Error", err)
+		return unknownBuild
+	}
+	return build
+}
+
 var errEndpoints = eris.New("cannot serve the platform's endpoints")
 
 // serveEndpoints serves the endpoints and stops the process if that fails.
--- a/proofs/departures_test.go
+++ b/proofs/departures_test.go
@@ -111,7 +111,7 @@
 	log, err := os.OpenFile(filepath.Join(f.dir, fmt.Sprintf("%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(f.t, err)
 	defer func() { _ = log.Close() }()
-	f.procs[i] = exec.Command(filepath.Join(programDir, "foxtailhall"), "run", "--settings", settings)
+	f.procs[i] = exec.Command(program, "run", "--settings", settings)
 	f.procs[i].Stdout, f.procs[i].Stderr = log, log
 	require.NoError(f.t, f.procs[i].Start())
 	require.Eventually(f.t, func() bool {
--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/stretchr/testify/require"
 
+	"github.com/foxtailhall/foxtailhall/standins/builder"
 	"github.com/foxtailhall/foxtailhall/standins/recorder"
 	"github.com/foxtailhall/foxtailhall/standins/reporter"
 	"github.com/foxtailhall/foxtailhall/standins/worker"
@@ -32,8 +34,8 @@
 // waitTimeout limits each wait for an expected event. It is generous: no test measures speed by it.
 const waitTimeout = 30 * time.Second
 
-// programDir is the directory in which TestMain builds the programs.
-var programDir string
+// programDir is the directory in which TestMain builds the stand-ins, and program is the path of the program.
+var programDir, program string
 
 func TestMain(m *testing.M) {
 	os.Exit(buildAndRun(m))
@@ -47,14 +49,31 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	programDir = dir
-	build := exec.Command("go", "build", "-o", dir, "..", "../standins")
+	build := exec.Command("go", "build", "-o", dir, "../standins")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintln(os.Stderr, string(out), err)
 		return 1
 	}
+	if program, err = buildProgram(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	return m.Run()
 }
 
+// buildProgram builds the program of a deployment, or with RACE set one with the race detector, and
+// returns its path.
+func buildProgram(dir string) (string, error) {
+	if os.Getenv("RACE") != "" {
+		return builder.BuildRace(context.Background(), "..", dir)
+	}
+	path, err := builder.Build(context.Background(), "..")
+	if err != nil {
+		return "", err
+	}
+	return filepath.Abs(path)
+}
+
 // fleet is a set of running processes with loopback addresses of its own.
 type fleet struct {
 	t       *testing.T
@@ -115,7 +134,7 @@
 // startFleetWith starts a fleet whose processes have further lines of settings.
 func startFleetWith(t *testing.T, settings string, count int, floor int, relays bool) *fleet {
 	t.Helper()
-	return startProgramFleet(t, filepath.Join(programDir, "foxtailhall"), settings, count, floor, relays)
+	return startProgramFleet(t, program, settings, count, floor, relays)
 }
 
 // startProgramFleet starts a fleet whose processes run the given program.
@@ -247,7 +266,7 @@
 // publish runs the publish command and returns its exit code.
 func (f *fleet) publish(args ...string) int {
 	args = append([]string{"publish", "--log", f.logAddress()}, args...)
-	command := exec.Command(filepath.Join(programDir, "foxtailhall"), args...)
+	command := exec.Command(program, args...)
 	command.Dir = f.dir
 	out, err := command.CombinedOutput()
 	var exit *exec.ExitError
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -29,7 +29,7 @@
 		t.Run(strconv.FormatUint(regression.seed, 10), func(t *testing.T) {
 			verdict, err := soaker.Run(context.Background(), soaker.Options{
 				Seed: regression.seed, Duration: 15 * time.Second, VMs: 9, Network: 100 + i,
-				Program: filepath.Join(programDir, "foxtailhall"), Folder: filepath.Join(t.TempDir(), "soak"),
+				Program: program, Folder: filepath.Join(t.TempDir(), "soak"),
 			})
 			require.NoError(t, err)
 			require.Empty(t, verdict.Failures, regression.cause)
@@ -42,7 +42,7 @@
 func TestDemo(t *testing.T) {
 	verdict, err := soaker.Run(context.Background(), soaker.Options{
 		Duration: soaker.DemoDuration, VMs: 9, Network: 110, Plan: soaker.DemoPlan(),
-		Program: filepath.Join(programDir, "foxtailhall"), Folder: filepath.Join(t.TempDir(), "demo"),
+		Program: program, Folder: filepath.Join(t.TempDir(), "demo"),
 	})
 	require.NoError(t, err)
 	require.Empty(t, verdict.Failures)
@@ -54,7 +54,7 @@
 func TestCallsNeedNoKey(t *testing.T) {
 	verdict, err := soaker.Run(context.Background(), soaker.Options{
 		Seed: 203, Duration: 8 * time.Second, VMs: 3, Network: 112, Plan: soaker.Plan{}, Calls: true,
-		Program: filepath.Join(programDir, "foxtailhall"), Folder: filepath.Join(t.TempDir(), "calls"),
+		Program: program, Folder: filepath.Join(t.TempDir(), "calls"),
 	})
 	require.NoError(t, err)
 	require.Empty(t, verdict.Failures)
@@ -77,7 +77,7 @@
 	}
 	verdict, err := soaker.Run(context.Background(), soaker.Options{
 		Duration: 8 * time.Second, VMs: vms, Network: 111, Plan: plan,
-		Program: filepath.Join(programDir, "foxtailhall"), Folder: filepath.Join(t.TempDir(), "reloads"),
+		Program: program, Folder: filepath.Join(t.TempDir(), "reloads"),
 	})
 	require.NoError(t, err)
 	require.Empty(t, verdict.Failures)
--- a/standins/main.go
+++ b/standins/main.go
@@ -281,6 +281,7 @@
 		{"callers", "Run callers that generate load", &callersCommand{}},
 		{"relay", "Run a relay with one-way cuts", &relayCommand{}},
 		{"soak", "Run a fleet on a simulated platform under load and faults drawn from seeds", &soakCommand{}},
+		{"build", "Build the program as the deploy file says", &buildCommand{}},
 		{"test", "Run the Go tests and exempt the known failures", &testCommand{}},
 		{"patterns", "Play patterns of load on the decisions of routers and guards", &patternsCommand{}},
 		{"demo", "Run a fleet on a simulated platform through a gray server, a kill, a store outage and a new version", &demoCommand{}},
--- a/transport/meter/meter.go
+++ b/transport/meter/meter.go
@@ -87,6 +87,12 @@
 	m.set.GetOrCreateGauge("foxtailhall_"+name, read)
 }
 
+// RegisterBuild adds a gauge whose labels name the version of the program and its build.
+func (m *Meter) RegisterBuild(version, build string) {
+	m.set.GetOrCreateGauge("foxtailhall_build_info{version="+strconv.Quote(version)+",build="+strconv.Quote(build)+"}",
+		func() float64 { return 1 })
+}
+
 // Write writes all metrics in the Prometheus text format, including those of the
 // operating system process.
 func (m *Meter) Write(w io.Writer) {
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -46,9 +46,11 @@
 // Dependencies holds what a process is built from.
 type Dependencies struct {
 	Settings loader.Settings
-	Log      *slog.Logger
-	Parser   *parser.Parser
-	Meter    *meter.Meter
+	// Version is that of the program, and Build identifies its build.
+	Version, Build string
+	Log            *slog.Logger
+	Parser         *parser.Parser
+	Meter          *meter.Meter
 	// Callers and Servers read and write the header fields of callers and backend servers.
 	Callers interpreter.Callers
 	Servers interpreter.Servers
@@ -297,6 +299,7 @@
 }
 
 func (r *Runner) registerGauges() {
+	r.deps.Meter.RegisterBuild(r.deps.Version, r.deps.Build)
 	r.deps.Meter.RegisterGauge("config_version", func() float64 { return float64(r.catalog().Version()) })
 	r.deps.Meter.RegisterGauge("roster_members", func() float64 { return float64(r.roster.Load().Len()) })
 	r.deps.Meter.RegisterGauge("requests_active", func() float64 { return float64(r.router.Active()) })
@@ -365,8 +368,8 @@
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	r.startServers(serveCtx, group, peers)
 	r.startLoops(serveCtx, group)
-	r.deps.Log.Info("Started", "Incarnation", r.incarnation, "Zone", r.deps.Settings.Zone,
-		"CallerAddress", r.deps.Settings.CallerAddress, "PeerAddress", r.deps.Settings.PeerAddress)
+	r.deps.Log.Info("Started", "Version", r.deps.Version, "Build", r.deps.Build, "Incarnation", r.incarnation,
+		"Zone", r.deps.Settings.Zone, "CallerAddress", r.deps.Settings.CallerAddress, "PeerAddress", r.deps.Settings.PeerAddress)
 	select {
 	case <-ctx.Done():
 	case <-r.leaveRequested:
