--- a/proofs/departures_test.go
+++ b/proofs/departures_test.go
@@ -26,16 +26,16 @@
 	lateDelay = 600 * time.Millisecond
 )
 
-// leavingFleet is a store and two processes on the platform's stand-ins. Process 0 has a
-// backend server that announces itself only as the test says, process 1 has none and
-// takes the callers' requests.
+// leavingFleet is a store and processes, two if nothing else is said, on the platform's stand-ins. Process 0 has a
+// backend server that announces itself only as the test says, the others have none and
+// take the callers' requests.
 type leavingFleet struct {
 	t       *testing.T
 	dir     string
 	network int
 	store   *storer.Storer
 	server  *responder.Responder
-	procs   [2]*exec.Cmd
+	procs   []*exec.Cmd
 	// runs counts the requests that the server has started.
 	runs atomic.Int64
 	// slots is what the server announces.
@@ -54,26 +54,40 @@
 func startLeavingFleet(t *testing.T, network int) *leavingFleet {
 	t.Helper()
 	f := newLeavingFleet(t, network)
-	server := responder.New(f.address(1, 9000), responder.Options{
+	f.startServer()
+	f.startAll()
+	return f
+}
+
+// startServer starts the backend server beside process 0.
+func (f *leavingFleet) startServer() {
+	f.t.Helper()
+	f.server = responder.New(f.address(1, 9000), responder.Options{
 		ID: leavingServer, Service: "writing", Slots: 4, ServiceTime: time.Millisecond, AnnounceAddress: f.address(1, 8004),
 		OnRun: func(responder.Run) { f.runs.Add(1) },
 	})
-	f.server = server
 	f.server.SetFault(responder.Fault{NoHeartbeats: true})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.server.Start(ctx)
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		cancel()
 		f.server.Close()
 	})
-	f.startAll()
-	return f
 }
 
 // newLeavingFleet returns a fleet whose store runs, without a server and processes.
 func newLeavingFleet(t *testing.T, network int) *leavingFleet {
 	t.Helper()
-	f := &leavingFleet{t: t, dir: t.TempDir(), network: network, slots: 4, bornMs: time.Now().UnixMilli()}
+	return newLeavingFleetOf(t, network, 2)
+}
+
+// newLeavingFleetOf returns such a fleet of a number of processes.
+func newLeavingFleetOf(t *testing.T, network, processes int) *leavingFleet {
+	t.Helper()
+	f := &leavingFleet{
+		t: t, dir: t.TempDir(), network: network, slots: 4, bornMs: time.Now().UnixMilli(),
+		procs: make([]*exec.Cmd, processes),
+	}
 	f.store = storer.New(f.address(255, 7000))
 	go func() { _ = f.store.Run() }()
 	t.Cleanup(func() {
@@ -81,26 +95,37 @@
 			f.kill(i)
 		}
 		f.store.Close()
+		f.requireNoRace()
 		f.logFailure()
 	})
 	return f
 }
 
-// startAll publishes the configuration and starts both processes.
+// startAll publishes the configuration and starts all processes.
 func (f *leavingFleet) startAll() {
 	f.t.Helper()
 	time.Sleep(100 * time.Millisecond)
 	f.store.Publish([]byte(leavingConfiguration))
-	f.start(0)
-	f.start(1)
+	for i := range f.procs {
+		f.start(i)
+	}
 }
 
 func (f *leavingFleet) address(host, port int) string {
-	return fmt.Sprintf("127.77.%d.%d:%d", f.network, host, port)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 77+f.network/256, f.network%256, host, port)
 }
 
 // start starts process i and waits until it is ready.
 func (f *leavingFleet) start(i int) {
+	f.t.Helper()
+	f.launch(i)
+	require.Eventually(f.t, func() bool {
+		return f.call(http.MethodGet, "http://"+f.address(i+1, 8005)+"/readyz", "") == http.StatusOK
+	}, 10*time.Second, 20*time.Millisecond, "process %d is not ready", i)
+}
+
+// launch starts process i.
+func (f *leavingFleet) launch(i int) {
 	f.t.Helper()
 	settings := filepath.Join(f.dir, fmt.Sprintf("%d.yaml", i))
 	text := fmt.Sprintf("CallerAddress: %s\nPeerAddress: %s\nAdminAddress: %s\nZone: z\nStoreAddress: %s\n"+
@@ -114,9 +139,16 @@
 	f.procs[i] = exec.Command(program, "run", "--settings", settings)
 	f.procs[i].Stdout, f.procs[i].Stderr = log, log
 	require.NoError(f.t, f.procs[i].Start())
-	require.Eventually(f.t, func() bool {
-		return f.call(http.MethodGet, "http://"+f.address(i+1, 8005)+"/readyz", "") == http.StatusOK
-	}, 10*time.Second, 20*time.Millisecond, "process %d is not ready", i)
+}
+
+// requireNoRace fails the test if a program with the race detector has reported a race.
+func (f *leavingFleet) requireNoRace() {
+	for i := range f.procs {
+		text, err := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("%d.log", i)))
+		if err == nil && bytes.Contains(text, []byte("DATA RACE")) {
+			f.t.Errorf("process %d reports a data race", i)
+		}
+	}
 }
 
 // logFailure shows the logs of the processes if the test has failed.
@@ -180,8 +212,11 @@
 }
 
 // write sends one request of a caller to process 1 and returns its status.
-func (f *leavingFleet) write() int {
-	return f.call(http.MethodPost, "http://"+f.address(2, 8000)+"/write/a", "x")
+func (f *leavingFleet) write() int { return f.writeThrough(1) }
+
+// writeThrough sends one request of a caller to process i and returns its status.
+func (f *leavingFleet) writeThrough(i int) int {
+	return f.call(http.MethodPost, "http://"+f.address(i+1, 8000)+"/write/a", "x")
 }
 
 // putInService announces the server until a request is served, and returns the last sequence.
--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -62,8 +62,11 @@
 }
 
 // buildProgram builds the program of a deployment, or with RACE set one with the race detector, and
-// returns its path.
+// returns its path. PROGRAM names one of another version to run in its place.
 func buildProgram(dir string) (string, error) {
+	if other := os.Getenv("PROGRAM"); other != "" {
+		return other, nil
+	}
 	if os.Getenv("RACE") != "" {
 		return builder.BuildRace(context.Background(), "..", dir)
 	}
