inquirer, runner: ask near peers as well as the store before a run counts as new

After a restart a process believed an announcement as soon as the store knew of no departure, or a peer vouched for the store. A departure that only near peers knew came with the first gossip or request of one of them, and until then other VMs' requests reached the server that leaves and were lost with it.

A starting process now asks up to three listed and five near peers, the ones that an earlier process tells of a departure, and holds announcements until each has replied or failed, or its first second is over (coordination/inquirer). It tells near peers at once when the held announcement is applied, not with the next tick of gossip. PeersAsked, AnnouncementBelieved with its ground, and the histogram foxtailhall_inquiry_seconds show it.

--- a/coordination/enroller/enroller.go
+++ b/coordination/enroller/enroller.go
@@ -94,6 +94,8 @@
 	// doubted is set once a departure was recalled from a store that may have lost a later
 	// one.
 	doubted bool
+	// inquiring is set while peers are still asked what the server said to an earlier process.
+	inquiring bool
 	// latest is the last announcement that was neither stale, foreign nor held.
 	latest Announcement
 	// departure is the last run that left, latest itself or an earlier one, and leftAt is
@@ -114,10 +116,51 @@
 // Departure returns the last run that left.
 func (e Enroller) Departure() Departure { return e.departure }
 
-// Settled reports whether the last departure before the process started is known, or
-// announcements from that time can no longer arrive.
+// Settled reports whether the last departure before the process started is known and no peer
+// is left to ask, or announcements from that time can no longer arrive.
 func (e Enroller) Settled(now clocker.Instant) bool {
-	return e.recalled || now.Since(e.startedAt) > MaxDelay
+	return e.recalled && !e.inquiring || now.Since(e.startedAt) > MaxDelay
+}
+
+// WithInquiry returns the enroller while peers are asked what they know of the server.
+// Announcements stay held until WithoutInquiry is called.
+func (e Enroller) WithInquiry() Enroller {
+	e.inquiring = true
+	return e
+}
+
+// WithoutInquiry returns the enroller once no peer is left to ask.
+func (e Enroller) WithoutInquiry() Enroller {
+	e.inquiring = false
+	return e
+}
+
+// Inquiring reports whether peers are still asked.
+func (e Enroller) Inquiring() bool { return e.inquiring }
+
+// Ground is why an announcement of a run was believed.
+type Ground string
+
+// Grounds for believing an announcement.
+const (
+	// GroundLaterRun means that the run began after the latest one known.
+	GroundLaterRun Ground = "LaterRun"
+	// GroundRecalled means that the run did not leave as far as the Source and peers know.
+	GroundRecalled Ground = "Recalled"
+	// GroundDelay means that announcements from before the process started can no longer arrive.
+	GroundDelay Ground = "Delay"
+)
+
+// Ground returns why an announcement is believed now.
+func (e Enroller) Ground(now clocker.Instant) Ground {
+	switch {
+	case e.latest.ID != "":
+		return GroundLaterRun
+	case e.recalled && !e.inquiring && now.Since(e.startedAt) <= MaxDelay:
+		return GroundRecalled
+	default:
+		return GroundDelay
+	}
 }
 
 // WithDeparture returns the enroller with the last run that left before the process
--- a/coordination/enroller/enroller_test.go
+++ b/coordination/enroller/enroller_test.go
@@ -402,3 +402,57 @@
 	require.False(t, unknown.Later(first))
 	require.False(t, first.Later(first))
 }
+
+// TestInquiriesHoldAnnouncements guards against a late announcement that a starting process believes since the Source
+// knows of no departure, while near peers that were told of one are still being asked.
+func TestInquiriesHoldAnnouncements(t *testing.T) {
+	now := func(after time.Duration) clocker.Instant {
+		return clocker.Instant{Mono: after, Wall: 1_700_000_000*time.Second + after}
+	}
+	late := enroller.Announcement{
+		ID: "a", Address: "10.1.0.8:8301", Service: "billing", Slots: 4, StartedMs: 1_699_999_000_000, Sequence: 7,
+		ReceivedAt: now(20 * time.Millisecond),
+	}
+	requireVerdict := func(t *testing.T, e enroller.Enroller, want enroller.Verdict) enroller.Enroller {
+		t.Helper()
+		next, verdict := e.WithAnnouncement(late)
+		require.Equal(t, want, verdict)
+		return next
+	}
+	started := enroller.New(late.Address, now(0)).WithInquiry()
+	recalled, _ := started.WithDeparture(enroller.Departure{}, now(5*time.Millisecond))
+	t.Run("BeforeTheSourceAnswers", func(t *testing.T) {
+		requireVerdict(t, started, enroller.VerdictHeld)
+		requireVerdict(t, started.WithoutInquiry(), enroller.VerdictHeld)
+	})
+	t.Run("PeersAreAsked", func(t *testing.T) {
+		requireVerdict(t, recalled, enroller.VerdictHeld)
+		require.False(t, recalled.Settled(now(20*time.Millisecond)))
+	})
+	t.Run("PeersKnowNothing", func(t *testing.T) {
+		settled := recalled.WithoutInquiry()
+		require.Equal(t, enroller.GroundRecalled, settled.Ground(late.ReceivedAt))
+		requireVerdict(t, settled, enroller.VerdictAnnounced)
+	})
+	t.Run("APeerTellsMeanwhile", func(t *testing.T) {
+		left := enroller.Departure{ID: late.ID, StartedMs: late.StartedMs, LeftMs: late.StartedMs + 500}
+		held := requireVerdict(t, recalled, enroller.VerdictHeld)
+		told, verdict := held.WithLeft(left, now(30*time.Millisecond))
+		require.Equal(t, enroller.VerdictRetired, verdict)
+		requireVerdict(t, told.WithoutInquiry(), enroller.VerdictStale)
+	})
+	t.Run("ALaterRunThanTheOneThatLeft", func(t *testing.T) {
+		left := enroller.Departure{ID: "z", StartedMs: late.StartedMs - 500, LeftMs: late.StartedMs - 100}
+		told, _ := recalled.WithLeft(left, now(10*time.Millisecond))
+		settled := told.WithoutInquiry()
+		require.Equal(t, enroller.GroundLaterRun, settled.Ground(late.ReceivedAt))
+		requireVerdict(t, settled, enroller.VerdictAnnounced)
+	})
+	t.Run("NothingIsKnownInTime", func(t *testing.T) {
+		announced := late
+		announced.ReceivedAt = now(enroller.MaxDelay + time.Millisecond)
+		require.Equal(t, enroller.GroundDelay, started.Ground(announced.ReceivedAt))
+		_, verdict := started.WithAnnouncement(announced)
+		require.Equal(t, enroller.VerdictAnnounced, verdict)
+	})
+}
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -170,11 +170,17 @@
 		}
 	}
 	if seed, ok := g.unknownSeed(); ok {
-		pings = append(pings, Ping{Address: seed, Message: g.message(now, registrar.Member{}, true)})
+		pings = append(pings, g.PingToSeed(now, seed, true))
 	}
 	return pings
 }
 
+// PingToSeed returns a ping to an address without a known member. If full is set it asks for all
+// entries.
+func (g *Gossiper) PingToSeed(now clocker.Instant, address string, full bool) Ping {
+	return Ping{Address: address, Message: g.message(now, registrar.Member{}, full)}
+}
+
 // PingTo returns a ping to a member outside the regular order.
 func (g *Gossiper) PingTo(now clocker.Instant, member registrar.Member) Ping {
 	return g.ping(now, member)
--- a/proofs/leaving_answers_test.go
+++ b/proofs/leaving_answers_test.go
@@ -128,6 +128,40 @@
 	})
 }
 
+// TestSuccessorsAskNearPeers guards against requests of other VMs for a server that said in an answer that it leaves,
+// after the process beside it was killed before the store had that, and the one that passed the answer on as well. Near
+// peers were told.
+func TestSuccessorsAskNearPeers(t *testing.T) {
+	// Of the others, 1 to 3 are told of a departure.
+	const processes, firstUntold, rounds = 7, 4, 3
+	f := newLeavingFleetOf(t, 179, processes)
+	f.store.SetFault(storer.Fault{NoEra: true})
+	f.startServer()
+	f.startAll()
+	for round := range rounds {
+		f.server.SetLeavingAnswers(false)
+		f.bornMs = time.Now().UnixMilli()
+		last := f.putInService(0)
+		f.store.SetFault(storer.Fault{NoEra: true, Down: true})
+		f.sayLeaving()
+		time.Sleep(50 * time.Millisecond)
+		f.kill(0)
+		f.kill(1)
+		f.store.SetFault(storer.Fault{NoEra: true})
+		before := f.runs.Load()
+		f.launch(0)
+		for end := time.Now().Add(700 * time.Millisecond); time.Now().Before(end); {
+			last++
+			f.announce("ready", last)
+			for i := firstUntold; i < processes; i++ {
+				f.writeThrough(i)
+			}
+		}
+		require.Equal(t, before, f.runs.Load(), "a request of another VM reaches the server in round %d", round)
+		f.start(1)
+	}
+}
+
 // TestUnacknowledgedLeavesOutliveTheProcess guards against new work for a server that announced its
 // leave while the store was away, after the process that applied it was killed before it could
 // acknowledge it.
@@ -218,3 +252,39 @@
 		t.Logf("%s: p50 %s, p90 %s, p99 %s", name, times[runs/2], times[runs*9/10], times[runs*99/100])
 	}
 }
+
+// TestCostOfStarts measures, if MEASURE is set, how long after a start of the process beside a server
+// callers wait for its first request, while announcements arrive all the time.
+func TestCostOfStarts(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("a measurement: set MEASURE")
+	}
+	const starts = 30
+	for i, fault := range []storer.Fault{{NoEra: true}, {}} {
+		t.Run(fmt.Sprintf("NoEra=%t", fault.NoEra), func(t *testing.T) {
+			f := newLeavingFleetOf(t, 181+i, 5)
+			f.store.SetFault(fault)
+			f.startServer()
+			f.startAll()
+			sequence := f.putInService(0)
+			times := make([]time.Duration, 0, starts)
+			for range starts {
+				f.kill(0)
+				time.Sleep(500 * time.Millisecond)
+				began := time.Now()
+				f.launch(0)
+				for time.Since(began) < waitTimeout {
+					sequence++
+					f.announce("ready", sequence)
+					if f.write() == http.StatusOK {
+						break
+					}
+					time.Sleep(2 * time.Millisecond)
+				}
+				times = append(times, time.Since(began))
+			}
+			slices.Sort(times)
+			t.Logf("p50 %s, p90 %s, most %s", times[starts/2], times[starts*9/10], times[starts-1])
+		})
+	}
+}
--- a/transport/meter/meter.go
+++ b/transport/meter/meter.go
@@ -58,6 +58,12 @@
 		strconv.Quote(strconv.FormatBool(succeeded)) + "}").Update(took.Seconds())
 }
 
+// ObserveInquiry records the time from the start of a process until no peer was left to ask about
+// the one before it.
+func (m *Meter) ObserveInquiry(took time.Duration) {
+	m.set.GetOrCreateHistogram("foxtailhall_inquiry_seconds").Update(took.Seconds())
+}
+
 // ObserveEstimate records the relative error of the expected service time of a request.
 func (m *Meter) ObserveEstimate(service string, expected, took time.Duration) {
 	m.set.GetOrCreateHistogram("foxtailhall_estimate_relative_error{service=" + strconv.Quote(service) + "}").
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -125,10 +125,12 @@
 func (r *Runner) applyReady(next enroller.Enroller, announcement enroller.Announcement, verdict enroller.Verdict,
 	coldStart time.Duration,
 ) error {
+	known := r.enroller
 	r.enroller = next
 	switch verdict {
 	case enroller.VerdictAnnounced:
 		r.held.Store(nil)
+		r.logBelieved(known, announcement)
 	case enroller.VerdictHeld:
 		r.held.Store(&heldAnnouncement{announcement: announcement, coldStart: coldStart})
 		return nil
@@ -145,6 +147,18 @@
 	return nil
 }
 
+// logBelieved logs why the first announcement of a run is believed.
+func (r *Runner) logBelieved(known enroller.Enroller, announcement enroller.Announcement) {
+	latest, left := known.Latest(), known.Departure()
+	if latest.ID == announcement.ID && latest.StartedMs == announcement.StartedMs {
+		return
+	}
+	r.deps.Log.Info("AnnouncementBelieved", "Server", announcement.ID, "StartedMs", announcement.StartedMs,
+		"Sequence", announcement.Sequence, "Ground", string(known.Ground(announcement.ReceivedAt)),
+		"Asked", r.inquiry.Asked(), "Answered", r.inquiry.Answered(),
+		"LastLeft", left.ID, "LastLeftStartedMs", left.StartedMs)
+}
+
 // checkPredecessor applies the held announcement if peers show that it is not from a run
 // that has left. Peers are asked for all that they know first.
 func (r *Runner) checkPredecessor(ctx context.Context) {
@@ -298,8 +312,8 @@
 	r.releaseHeld(now)
 }
 
-// releaseHeld applies the held announcement once the last departure is known. The caller
-// holds announcementMu.
+// releaseHeld applies the held announcement once the last departure is known, and tells near
+// peers at once that the server is in service. The caller holds announcementMu.
 func (r *Runner) releaseHeld(now clocker.Instant) {
 	if !r.enroller.Settled(now) {
 		return
@@ -313,6 +327,7 @@
 	if _, err := r.enroll(announcement, held.coldStart); err != nil {
 		r.deps.Log.Warn("AnnouncementRefused", "Server", announcement.ID, "Error", err)
 	}
+	go r.tellNearPeers()
 }
 
 // keepDepartures keeps the departures of the backend server in the Source until the
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -103,6 +103,7 @@
 	for _, process := range r.statements.Due(*r.roster.Load()) {
 		go r.ping(ctx, r.pingTo(process))
 	}
+	r.inquire(ctx)
 	r.checkAlone()
 }
 
--- a/transport/runner/registration.go
+++ b/transport/runner/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,8 +98,9 @@
 		return false
 	}
 	r.gossipMu.Lock()
-	defer r.gossipMu.Unlock()
 	r.gossip.AddSeeds(peers...)
+	r.gossipMu.Unlock()
+	r.listPeers(ctx, append(slices.Clone(r.deps.Settings.Peers), peers...))
 	return true
 }
 
--- a/transport/runner/runner.go
+++ b/transport/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailhall/foxtailhall/coordination/ejector"
 	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 	"github.com/foxtailhall/foxtailhall/coordination/gossiper"
+	"github.com/foxtailhall/foxtailhall/coordination/inquirer"
 	"github.com/foxtailhall/foxtailhall/coordination/publisher"
 	"github.com/foxtailhall/foxtailhall/coordination/quoter"
 	"github.com/foxtailhall/foxtailhall/coordination/stopper"
@@ -104,7 +105,9 @@
 	enroller       enroller.Enroller
 	// held is the last announcement that waits until the departure before this process is
 	// known, if there is one.
-	held       atomic.Pointer[heldAnnouncement]
+	held atomic.Pointer[heldAnnouncement]
+	// inquiry is what peers were asked about the process before this one. announcementMu guards it.
+	inquiry    inquirer.Inquiry
 	departures *departures
 	// registration is nil without a Source.
 	registration *registration
@@ -163,6 +166,7 @@
 	r.enroller = enroller.New(deps.Settings.ServerAddress, r.now())
 	if source := deps.Source; source != nil {
 		r.registration = newRegistration()
+		r.enroller, r.inquiry = r.enroller.WithInquiry(), inquirer.New(r.now())
 		r.departures = newDepartures(
 			func(ctx context.Context, departure enroller.Departure) (uint64, error) {
 				return source.RecordDeparture(ctx, deps.Settings.ServerAddress, departure)
