rememberer, guard, runner: log both ends of each word about a server

StatementHeard and StatementTold name the process, its incarnation, the way (answer, refusal, request, ping) and the request; StatementReceived is the other end of StatementTold. With PeersAsked and AnnouncementBelieved one run tells whether a word was never heard, not told, not received, or received and not believed.

--- a/coordination/witness/witness.go
+++ b/coordination/witness/witness.go
@@ -40,6 +40,14 @@
 // Empty reports whether the statement says nothing.
 func (s Statement) Empty() bool { return s == Statement{} }
 
+// LogFields returns the statement as names and values of a log line.
+func (s Statement) LogFields() []any {
+	return []any{
+		"Left", s.Departure.ID, "LeftStartedMs", s.Departure.StartedMs, "LeftMs", s.Departure.LeftMs,
+		"Limited", s.Limit.ID, "PerSecond", s.Limit.PerSecond,
+	}
+}
+
 // Memory is what a process remembers of the backend server at one address. It is immutable.
 // The zero value remembers nothing.
 type Memory struct {
--- a/transport/guard/statement.go
+++ b/transport/guard/statement.go
@@ -27,9 +27,12 @@
 
 // learnStatement applies what an attempt's router knows of the server and this process may not.
 func (g *Guard) learnStatement(head *messenger.RequestHead) {
-	if head.Statement != nil {
-		g.deps.OnStatement(converter.StatementFromProto(head.Statement))
+	if head.Statement == nil {
+		return
 	}
+	said := converter.StatementFromProto(head.Statement)
+	g.deps.Log.Info("StatementReceived", append(said.LogFields(), "Way", "Request", "Request", head.RequestId)...)
+	g.deps.OnStatement(said)
 }
 
 // recordLimit applies the limit that an answer names. An answer without one lifts the last.
--- a/transport/rememberer/rememberer.go
+++ b/transport/rememberer/rememberer.go
@@ -37,17 +37,17 @@
 }
 
 // HearAnswer records what the server beside a process said of itself in an answer. An answer
-// without a limit lifts the last one.
-func (r *Rememberer) HearAnswer(process registrar.Member, said witness.Statement) {
-	r.hear(process, said, true)
+// without a limit lifts the last one. The fields of the log line tell how it was heard.
+func (r *Rememberer) HearAnswer(process registrar.Member, said witness.Statement, fields ...any) {
+	r.hear(process, said, true, fields)
 }
 
 // Hear records a statement of the server beside a process, which knows it.
-func (r *Rememberer) Hear(process registrar.Member, said witness.Statement) {
-	r.hear(process, said, said.Limit.ID != "")
+func (r *Rememberer) Hear(process registrar.Member, said witness.Statement, fields ...any) {
+	r.hear(process, said, said.Limit.ID != "", fields)
 }
 
-func (r *Rememberer) hear(process registrar.Member, said witness.Statement, limit bool) {
+func (r *Rememberer) hear(process registrar.Member, said witness.Statement, limit bool, fields []any) {
 	if r == nil {
 		return
 	}
@@ -64,9 +64,7 @@
 	}
 	r.memories[process.Address] = heard
 	if now := heard.Statement(); now != known.Statement() {
-		r.log.Info("StatementHeard", "Server", process.Address, "Left", now.Departure.ID,
-			"StartedMs", now.Departure.StartedMs, "LeftMs", now.Departure.LeftMs,
-			"Limited", now.Limit.ID, "PerSecond", now.Limit.PerSecond)
+		r.logStatement("StatementHeard", process, now, fields)
 	}
 }
 
@@ -85,7 +83,7 @@
 }
 
 // RecordTold records that a process has received what UnknownTo returned.
-func (r *Rememberer) RecordTold(process registrar.Member, told witness.Statement) {
+func (r *Rememberer) RecordTold(process registrar.Member, told witness.Statement, fields ...any) {
 	if r == nil || told.Empty() {
 		return
 	}
@@ -97,8 +95,12 @@
 	}
 	known.Memory = known.WithTold(told, process.Incarnation)
 	r.memories[process.Address] = known
-	r.log.Info("StatementTold", "Server", process.Address, "Incarnation", process.Incarnation,
-		"Left", told.Departure.ID, "Limited", told.Limit.ID, "PerSecond", told.Limit.PerSecond)
+	r.logStatement("StatementTold", process, told, fields)
+}
+
+func (r *Rememberer) logStatement(event string, process registrar.Member, said witness.Statement, fields []any) {
+	line := append([]any{"Server", process.Address, "Incarnation", process.Incarnation}, said.LogFields()...)
+	r.log.Info(event, append(line, fields...)...)
 }
 
 // Due returns the live processes of a roster that may not know what is remembered of their
--- a/transport/router/attempt.go
+++ b/transport/router/attempt.go
@@ -155,6 +155,7 @@
 	r.deps.Log.Info("Routed", append([]any{
 		"Request", request.id, "Route", request.route.Name,
 		"Service", request.service.Name, "Attempt", request.attempts, "Server", entry.Member.Address,
+		"Incarnation", entry.Member.Incarnation,
 		"Zone", entry.Member.Zone, "Reason", reason, "Insist", insist, "Load", entry.Server.Load(now),
 		"MemberVersion", entry.Member.Version,
 	}, logEstimate(request, entry.Server, now, expected)...)...)
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -54,7 +54,7 @@
 		}
 		admissionTimer.Stop()
 		if !outcome.responded {
-			r.deps.Statements.RecordTold(outcome.entry.Member, outcome.told)
+			r.deps.Statements.RecordTold(outcome.entry.Member, outcome.told, "Way", "Request", "Request", request.id)
 		}
 		outcome.responded = true
 		if verdict := frame.GetVerdict(); verdict != nil {
@@ -65,13 +65,13 @@
 			if verdict.Queued {
 				continue
 			}
-			r.deps.Statements.Hear(outcome.entry.Member, converter.StatementFromProto(verdict.Statement))
+			r.deps.Statements.Hear(outcome.entry.Member, converter.StatementFromProto(verdict.Statement),
+				"Way", "Refusal", "Request", request.id)
 			outcome.applyVerdict(verdict)
 			return
 		}
 		if answer := frame.GetAnswer(); answer != nil {
-			// The caller may be gone, or another attempt may have won: the word still counts.
-			r.deps.Statements.HearAnswer(outcome.entry.Member, converter.StatementFromProto(answer.Statement))
+			r.hearAnswer(request, outcome, answer)
 			outcome.head = answer
 			r.readAnswer(request, outcome)
 			return
@@ -81,6 +81,13 @@
 	}
 }
 
+// hearAnswer records what a server says of itself in an answer, also if the caller is gone or
+// another attempt has won.
+func (r *Router) hearAnswer(request *callerRequest, outcome *result, answer *messenger.AnswerHead) {
+	said := converter.StatementFromProto(answer.Statement)
+	r.deps.Statements.HearAnswer(outcome.entry.Member, said, "Way", "Answer", "Request", request.id)
+}
+
 // readAnswer reads the first bytes of an answer. A request whose answer there is no memory
 // for has run, or may have.
 func (r *Router) readAnswer(request *callerRequest, outcome *result) {
--- a/transport/runner/announcement.go
+++ b/transport/runner/announcement.go
@@ -94,8 +94,11 @@
 func (r *Runner) enroll(announcement enroller.Announcement, coldStart time.Duration) (enroller.Departure, error) {
 	next, verdict := r.enroller.WithAnnouncement(announcement)
 	if verdict != enroller.VerdictAnnounced && verdict != enroller.VerdictRetired {
+		latest := next.Latest()
 		r.deps.Log.Info("AnnouncementIgnored", "Server", announcement.ID, "Verdict", verdict.String(),
-			"Address", announcement.Address, "Sequence", announcement.Sequence, "StartedMs", announcement.StartedMs)
+			"Address", announcement.Address, "Sequence", announcement.Sequence, "StartedMs", announcement.StartedMs,
+			"Leaving", announcement.Leaving, "Latest", latest.ID, "LatestStartedMs", latest.StartedMs,
+			"LatestLeaving", latest.Leaving)
 	}
 	if announcement.Leaving {
 		_, err := r.applyLeave(next, announcement.ID, verdict)
@@ -248,6 +251,15 @@
 	return departure
 }
 
+// receiveStatement applies what a peer tells of the backend server with its gossip.
+func (r *Runner) receiveStatement(peer registrar.Member, said witness.Statement) {
+	if said.Empty() {
+		return
+	}
+	r.deps.Log.Info("StatementReceived", append(said.LogFields(), "Way", "Ping", "Peer", peer.Address)...)
+	r.learnStatement(said)
+}
+
 // learnStatement applies what another process heard the backend server say of itself.
 func (r *Runner) learnStatement(said witness.Statement) {
 	if r.deps.Source != nil && said.Departure.ID != "" {
--- a/transport/runner/membership.go
+++ b/transport/runner/membership.go
@@ -133,8 +133,8 @@
 		return gossiper.Message{}, fmt.Errorf("exchanging gossip: %w", err)
 	}
 	received := converter.GossipFromProto(reply)
-	r.statements.RecordTold(received.Sender, ping.Message.Heard)
-	r.learnStatement(received.Heard)
+	r.statements.RecordTold(received.Sender, ping.Message.Heard, "Way", "Ping")
+	r.receiveStatement(received.Sender, received.Heard)
 	return received, nil
 }
 
--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -88,8 +88,8 @@
 		return nil, errMalformed
 	}
 	r := s.runner
-	r.statements.Hear(received.Sender, received.Own)
-	r.learnStatement(received.Heard)
+	r.statements.Hear(received.Sender, received.Own, "Way", "Ping")
+	r.receiveStatement(received.Sender, received.Heard)
 	r.gossipMu.Lock()
 	reply := r.gossip.Receive(r.now(), received)
 	warnings := r.gossip.TakeWarnings()
