guard, router: pass the leave in a stored answer on to the router

An answer stored for an idempotency key was passed on again without its statement: the router that passed it on did not learn that the server leaves, and could not tell a successor. It also lifted the limit that the router remembered, as an answer without one does.

The stored answer keeps the departure, and a router takes no limit from it. Failed before: TestStoredAnswersKeepTheirStatement (expected "first", actual "") and TestRoutersRememberWhatServersSaid/StoredAnswersLiftNoLimit (difference 2).

--- a/coordination/deduplicator/deduplicator.go
+++ b/coordination/deduplicator/deduplicator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxtailhall/foxtailhall/coordination/clocker"
+	"github.com/foxtailhall/foxtailhall/coordination/enroller"
 )
 
 const (
@@ -87,6 +88,8 @@
 	Status  int
 	Headers []Field
 	Body    []byte
+	// Departure is the last departure at the server's address as the answer told it, the zero value if it says none.
+	Departure enroller.Departure
 }
 
 // Field is one header field of a stored answer.
--- a/transport/guard/answer.go
+++ b/transport/guard/answer.go
@@ -124,7 +124,7 @@
 	if work.head.Key == "" {
 		return nil
 	}
-	answer := &deduplicator.Answer{Status: exchange.Response.StatusCode(), Body: body}
+	answer := &deduplicator.Answer{Status: exchange.Response.StatusCode(), Body: body, Departure: work.said.Departure}
 	for _, header := range endToEndHeaders(exchange.Response) {
 		answer.Headers = append(answer.Headers, deduplicator.Field{Name: header.Name, Value: header.Value})
 	}
--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -193,6 +193,7 @@
 		Status:         uint32(answer.Status),
 		Length:         int64(len(answer.Body)),
 		RepeatedAnswer: true,
+		Statement:      converter.StatementToProto(witness.Statement{Departure: answer.Departure}),
 	}
 	for _, field := range answer.Headers {
 		head.Headers = append(head.Headers, &messenger.Header{Name: field.Name, Value: field.Value})
--- a/transport/guard/statement_test.go
+++ b/transport/guard/statement_test.go
@@ -50,6 +50,9 @@
 	// run that it names.
 	statement         *messenger.Statement
 	retireOnStatement bool
+	// key is the idempotency key of attempts, "" for none, and attempts counts them.
+	key      string
+	attempts byte
 	// refusing is set while the server refuses requests.
 	refusing atomic.Bool
 	// stopping is set while a planned stop lets only attempts below maxDuringStop begin.
@@ -193,9 +196,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	stream := &attemptStream{ctx: ctx, toGuard: make(chan *messenger.Frame, 2)}
+	s.attempts++
 	stream.toGuard <- &messenger.Frame{Part: &messenger.Frame_Request{Request: &messenger.RequestHead{
-		Attempt: make([]byte, 16), Incarnation: 1, Service: "billing", Idempotent: true, Offer: true, Insist: true,
-		BudgetUs: (10 * time.Second).Microseconds(), Statement: s.statement,
+		Attempt: append(make([]byte, 15), s.attempts), Incarnation: 1, Service: "billing", Idempotent: s.key == "", Offer: true,
+		Insist: true, BudgetUs: (10 * time.Second).Microseconds(), Statement: s.statement, Key: s.key,
+		IssuedMs: time.Duration(s.clock.Load()).Milliseconds(),
 	}}}
 	require.NoError(t, s.guard.Forward(stream))
 	require.True(t, stream.answered != (stream.refused != nil), "an attempt is answered or refused")
@@ -308,6 +313,21 @@
 	require.EqualValues(t, leftMs, end.head.Statement.GetLeftMs())
 }
 
+// TestStoredAnswersKeepTheirStatement guards against a router that passes on a stored answer which
+// says that its server leaves, and does not learn it.
+func TestStoredAnswersKeepTheirStatement(t *testing.T) {
+	s := newNeedyServer(t)
+	s.key = "k"
+	s.leaving.Store(true)
+	require.True(t, s.attempt(t, time.Millisecond).answered)
+	end := s.attempt(t, time.Millisecond)
+	require.True(t, end.answered)
+	require.True(t, end.head.RepeatedAnswer)
+	require.EqualValues(t, 1, s.arrivals.Load())
+	require.Equal(t, "first", end.head.Statement.GetLeftRun())
+	require.EqualValues(t, leftMs, end.head.Statement.GetLeftMs())
+}
+
 // TestLeavingRefusalsAreReported guards against a router that does not learn of a leave that the
 // server says as it refuses a request.
 func TestLeavingRefusalsAreReported(t *testing.T) {
--- a/transport/router/exchange.go
+++ b/transport/router/exchange.go
@@ -82,9 +82,13 @@
 }
 
 // hearAnswer records what a server says of itself in an answer, also if the caller is gone or
-// another attempt has won.
+// another attempt has won. A stored answer does not tell what the server takes now.
 func (r *Router) hearAnswer(request *callerRequest, outcome *result, answer *messenger.AnswerHead) {
 	said := converter.StatementFromProto(answer.Statement)
+	if answer.RepeatedAnswer {
+		r.deps.Statements.Hear(outcome.entry.Member, said, "Way", "StoredAnswer", "Request", request.id)
+		return
+	}
 	r.deps.Statements.HearAnswer(outcome.entry.Member, said, "Way", "Answer", "Request", request.id)
 }
 
--- a/transport/router/statement_test.go
+++ b/transport/router/statement_test.go
@@ -132,6 +132,16 @@
 		requireLimit(4, 2)
 		requireLimit(5, 0)
 	})
+	t.Run("StoredAnswersLiftNoLimit", func(t *testing.T) {
+		limited := &messenger.Statement{LimitedRun: "a", LimitedRunStartedMs: 3, PerSecond: 2}
+		r := newStatementRouter(frames(&messenger.AnswerHead{Status: 200, Length: 4, Statement: limited}, "body"))
+		r.attempt(context.Background(), 1)
+		r.guard.frames = frames(&messenger.AnswerHead{Status: 200, Length: 4, RepeatedAnswer: true, Statement: left}, "body")
+		r.attempt(context.Background(), 1)
+		r.attempt(context.Background(), 2)
+		require.InDelta(t, 2, r.guard.heads[len(r.guard.heads)-1].Statement.GetPerSecond(), 0)
+		r.requireCarried(t, "a")
+	})
 	t.Run("UnansweredAttempt", func(t *testing.T) {
 		r := newStatementRouter(frames(&messenger.AnswerHead{Status: 200, Length: 4, Statement: left}, "body"))
 		r.attempt(context.Background(), 1)
