--- a/transport/runner/responder.go
+++ b/transport/runner/responder.go
@@ -100,7 +100,11 @@
 	if received.ConfigVersion > r.catalog().Version() {
 		go r.fetchIfNewer(context.WithoutCancel(ctx), received.Sender.Address, received.ConfigVersion)
 	}
-	reply.Heard = r.statements.UnknownTo(received.Sender)
+	if reply.Heard = r.statements.UnknownTo(received.Sender); !reply.Heard.Empty() {
+		r.deps.Log.Info("StatementReplied", append([]any{
+			"Server", received.Sender.Address, "Incarnation", received.Sender.Incarnation,
+		}, reply.Heard.LogFields()...)...)
+	}
 	return converter.GossipToProto(reply), nil
 }
 
