--- a/transport/guard/forward.go
+++ b/transport/guard/forward.go
@@ -287,7 +287,7 @@
 	g.startWork(work)
 	g.controller.Detector().StartNormalized(work.sent, work.id, g.typical.Time(work.head.Route))
 	g.deps.Log.Info("Dispatched", "Request", work.head.RequestId, "Service", work.head.Service, "Run", work.run,
-		"StartedMs", work.runStartedMs,
-		"Rank", work.head.Rank, "Earlier", work.head.Earlier, "InFlight", g.admitter.Limiter.InFlight(),
+		"StartedMs", work.runStartedMs, "Rank", work.head.Rank, "Earlier", work.head.Earlier,
+		"InFlight", g.admitter.Limiter.InFlight(),
 		"Waiting", g.admitter.Limiter.Waiting(), "LeftMs", -work.sent.Since(work.deadline).Milliseconds())
 }
--- a/transport/runner/inquiry.go
+++ b/transport/runner/inquiry.go
@@ -60,15 +60,19 @@
 func (r *Runner) joinPeer(ctx context.Context, address string, first bool) (gossiper.Message, error) {
 	askCtx, cancel := context.WithTimeout(ctx, maxAskTime)
 	defer cancel()
-	r.gossipMu.Lock()
-	ping := r.gossip.PingToSeed(r.now(), address, first)
-	if member, ok := r.roster.Load().MemberAt(address); ok {
-		ping = r.gossip.PingTo(r.now(), member)
-	}
-	r.gossipMu.Unlock()
+	ping := r.firstPing(address, first)
 	reply, err := r.exchangeGossip(askCtx, ping)
 	if err == nil && (ping.Incarnation == 0 || reply.Sender.Incarnation == ping.Incarnation) {
 		r.handleAck(ctx, ping, reply)
 	}
 	return reply, err
 }
+
+func (r *Runner) firstPing(address string, full bool) gossiper.Ping {
+	r.gossipMu.Lock()
+	defer r.gossipMu.Unlock()
+	if member, ok := r.gossip.Roster().MemberAt(address); ok {
+		return r.gossip.PingTo(r.now(), member)
+	}
+	return r.gossip.PingToSeed(r.now(), address, full)
+}
