--- a/review/13/case.py
+++ b/review/13/case.py
@@ -35,7 +35,7 @@
         ]))
         fleet.start()
         for i, vm in enumerate(fleet.vms):
-            fleet.server(vm, f"i-{i}", SERVICES[i])
+            fleet.server(vm, f"i-{i}", SERVICES[i], work=0.3 if SERVICES[i] == "billing" else 0.05)
         leaving = fleet.servers[0]
         fleet.await_ready()
         time.sleep(8)
@@ -48,7 +48,7 @@
                 sent[request] = (at, vm, status)
                 time.sleep(0.03)
 
-        consumers = [threading.Thread(target=consume, args=(vm,), daemon=True) for vm in fleet.vms[1:]]
+        consumers = [threading.Thread(target=consume, args=(vm,), daemon=True) for vm in fleet.vms[1:] for _ in range(2)]
         for consumer in consumers:
             consumer.start()
         time.sleep(3)
@@ -60,11 +60,12 @@
         # Planned end of the server: it reports draining and goes on serving.
         acked = leaving.drain()
         fleet.record.write("LeaveAcknowledged", server=leaving.name)
-        time.sleep(10)
+        time.sleep(9)
+        leaving.end()
+        time.sleep(1.5)
         stop.set()
         for consumer in consumers:
             consumer.join(7)
-        leaving.end()
         late = [(at, r) for at, r in leaving.runs if r in sent and sent[r][0] > acked + DRAIN]
         before = [r for at, r in leaving.runs if at < acked]
         print(f"runs of the leaving server: {len(before)} before the acknowledgement at {acked:.2f} s,"
@@ -72,7 +73,8 @@
         for at, request in late[:3] + late[-1:]:
             print(f"  sent at {sent[request][0]:.3f}, ran at {at:.3f}: {request}")
         served = sum(1 for _, _, status in sent.values() if status == 200)
-        print(f"requests: {len(sent)}, answered 200: {served}")
+        lost = sum(1 for _, request in late if sent[request][2] != 200)
+        print(f"requests: {len(sent)}, answered 200: {served}; lost when the leaving server ended: {lost}")
         return f"{len(late)} requests reached a server later than drain after its leaving was acknowledged" if late else ""
 
 
--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -20,6 +20,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = [os.path.join(ROOT, "target", "foxtailhall"), "run", "--settings"]
@@ -500,14 +501,23 @@
     return {"version": f"{version:08x}", "resources": resources}
 
 
+def end_by_signal(*_):
+    raise CannotRun("ended by SIGTERM")
+
+
 def main(play):
     """Runs a case and ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, end_by_signal)
     try:
         broken = play(trouble)
     except CannotRun as error:
-        print("could not run:", error)
-        sys.exit(2)
+        print("could not run:", error, flush=True)
+        os._exit(2)
+    except BaseException:
+        traceback.print_exc()
+        sys.stderr.flush()
+        os._exit(2)
     print("the rule was broken:" if broken else "the rule held", broken or "")
     sys.stdout.flush()
     os._exit(1 if broken else 0)
