--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -341,7 +341,10 @@
         self.process = None
 
     def start(self):
-        self.process = subprocess.Popen(PROGRAM + [self.settings], cwd=ROOT, stdout=self.log, stderr=self.log)
+        """Starts the process, unless the case is ending: nothing may be started behind its back then."""
+        with self.fleet.starting:
+            if not self.fleet.ending:
+                self.process = subprocess.Popen(PROGRAM + [self.settings], cwd=ROOT, stdout=self.log, stderr=self.log)
 
     def kill_and_restart(self):
         """Ends the process by SIGKILL. The platform starts it again after a short delay."""
@@ -381,6 +384,7 @@
         self.store = Store((self.ip(250), STORE_PORT))
         self.bounds = bounds or {}
         self.vms, self.servers = [], []
+        self.starting, self.ending = threading.Lock(), False
         for i, service in enumerate(services):
             self.add_vm(hosts[i] if hosts else i + 1, service)
 
@@ -468,6 +472,8 @@
         return self
 
     def __exit__(self, *_):
+        with self.starting:
+            self.ending = True
         for vm in self.vms:
             if vm.process and vm.process.poll() is None:
                 vm.process.kill()
